--- a/Benchmarks/LibTraffic/traffic_policies.cc
+++ b/Benchmarks/LibTraffic/traffic_policies.cc
@@ -19,7 +19,7 @@
 #include <vector>
 
 #include "LibRouting/upstream_choice.h"
-#include "LibTraffic/admission.h"
+#include "LibLoad/admission.h"
 
 namespace {
 
--- /dev/null
+++ b/Libraries/LibCatalog/catalog.cc
@@ -0,0 +1,129 @@
+#include "LibCatalog/catalog.h"
+
+#include <algorithm>
+#include <set>
+
+namespace wagtailmount {
+
+namespace {
+
+/// Removed keys that are remembered, so that late news can't bring them back.
+constexpr std::size_t kMostRemovals = 4096;
+
+}  // namespace
+
+bool catalog::Take(const catalog_item& item) {
+  const auto found = items_.find(item.key);
+  if (found != items_.end() && found->second.revision >= item.revision) {
+    return false;
+  }
+  // An unknown key whose removal was forgotten must not come back.
+  if (found == items_.end() && item.revision <= removals_forgotten_to_) {
+    return false;
+  }
+  items_[item.key] = item;
+  return true;
+}
+
+std::vector<std::string> catalog::TakeListing(
+    std::span<const catalog_item> items, std::uint64_t complete_to) {
+  std::vector<std::string> changed;
+  if (complete_to < complete_to_) {
+    return changed;
+  }
+  std::set<std::string_view> listed;
+  for (const catalog_item& item : items) {
+    listed.insert(item.key);
+    if (Take(item)) {
+      changed.push_back(item.key);
+    }
+  }
+  for (auto& [key, held] : items_) {
+    if (!held.is_removed && held.revision <= complete_to &&
+        !listed.contains(key)) {
+      held.is_removed = true;
+      held.revision = complete_to;
+      held.content = nullptr;
+      changed.push_back(key);
+    }
+  }
+  complete_to_ = complete_to;
+  ForgetOldRemovals();
+  return changed;
+}
+
+std::vector<std::string> catalog::TakeUpdate(const catalog_update& update) {
+  std::vector<std::string> changed;
+  if (update.after > complete_to_) {
+    return changed;
+  }
+  if (update.after == 0) {
+    return TakeListing(update.items, update.complete_to);
+  }
+  for (const catalog_item& item : update.items) {
+    if (Take(item)) {
+      changed.push_back(item.key);
+    }
+  }
+  complete_to_ = std::max(complete_to_, update.complete_to);
+  ForgetOldRemovals();
+  return changed;
+}
+
+catalog_update catalog::UpdateAfter(std::uint64_t after) const {
+  // Removals that were forgotten can only be told by a whole listing.
+  const bool is_whole = after == 0 || after < removals_forgotten_to_;
+  catalog_update update;
+  update.after = is_whole ? 0 : after;
+  update.complete_to = complete_to_;
+  for (const auto& [key, held] : items_) {
+    const bool is_wanted = is_whole ? !held.is_removed : held.revision > after;
+    if (is_wanted) {
+      update.items.push_back(held);
+    }
+  }
+  return update;
+}
+
+const catalog_item* catalog::Find(std::string_view key) const {
+  const auto found = items_.find(key);
+  const bool is_there = found != items_.end() && !found->second.is_removed;
+  return is_there ? &found->second : nullptr;
+}
+
+std::vector<const catalog_item*> catalog::ItemsUnder(
+    std::string_view prefix) const {
+  std::vector<const catalog_item*> found;
+  for (auto entry = items_.lower_bound(prefix);
+       entry != items_.end() && entry->first.starts_with(prefix); ++entry) {
+    if (!entry->second.is_removed) {
+      found.push_back(&entry->second);
+    }
+  }
+  return found;
+}
+
+void catalog::ForgetOldRemovals() {
+  const auto count = static_cast<std::size_t>(
+      std::count_if(items_.begin(), items_.end(),
+                    [](const auto& entry) { return entry.second.is_removed; }));
+  if (count <= kMostRemovals) {
+    return;
+  }
+  std::vector<std::uint64_t> revisions;
+  for (const auto& [key, held] : items_) {
+    if (held.is_removed) {
+      revisions.push_back(held.revision);
+    }
+  }
+  const auto middle =
+      revisions.begin() + static_cast<std::ptrdiff_t>(revisions.size() / 2);
+  std::nth_element(revisions.begin(), middle, revisions.end());
+  removals_forgotten_to_ = std::max(removals_forgotten_to_, *middle);
+  std::erase_if(items_, [this](const auto& entry) {
+    return entry.second.is_removed &&
+           entry.second.revision <= removals_forgotten_to_;
+  });
+}
+
+}  // namespace wagtailmount
--- /dev/null
+++ b/Libraries/LibCatalog/catalog_feed.cc
@@ -0,0 +1,111 @@
+#include "LibCatalog/catalog_feed.h"
+
+#include <algorithm>
+
+namespace wagtailmount {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::milliseconds;
+
+/// A watch in flight for so long has been taken by the platform: a refusal
+/// would have come by now.
+constexpr milliseconds kWatchTaken{400};
+/// How long a watch in flight vouches for freshness without an answer; then it
+/// should have been answered.
+constexpr milliseconds kWatchVouches{1'700};
+
+}  // namespace
+
+feed_call catalog_feed::NextCall(time_point now, std::uint64_t complete_to) {
+  if (IsInFlight() || now < next_call_) {
+    return feed_call::kNone;
+  }
+  if (needs_listing_ || complete_to == 0) {
+    const bool is_fed = complete_to > 0 && Age(now) < settings_.stale_after;
+    if (is_fed && !is_reader_) {
+      needs_listing_ = false;
+      return feed_call::kNone;
+    }
+    return may_list_stale_ ? feed_call::kListStale : feed_call::kList;
+  }
+  const auto age = Age(now);
+  if (!is_reader_ && !age && now < listed_at_ + settings_.peer_grace) {
+    return feed_call::kNone;
+  }
+  if (is_reader_ || !age || *age > settings_.stale_after) {
+    return feed_call::kWatch;
+  }
+  return feed_call::kNone;
+}
+
+void catalog_feed::Begin(time_point now, feed_call call) {
+  in_flight_ = call;
+  in_flight_since_ = now;
+}
+
+void catalog_feed::End(time_point now,
+                       const std::optional<error_kind>& failure,
+                       bool has_changes) {
+  const feed_call ended = in_flight_;
+  in_flight_ = feed_call::kNone;
+  if (failure == error_kind::kConflict) {
+    // The platform has forgotten its history; it answers all the same.
+    needs_listing_ = true;
+    may_list_stale_ = false;
+    next_call_ = now;
+    return;
+  }
+  if (failure) {
+    PutOff(now);
+    return;
+  }
+  if (failures_in_row_ > 0) {
+    regained_at_ = now;
+  }
+  failures_in_row_ = 0;
+  next_call_ = now;
+  if (ended == feed_call::kWatch) {
+    fresh_at_ = now;
+    next_call_ = has_changes ? now + settings_.watch_pause : now;
+  } else if (ended == feed_call::kList) {
+    fresh_at_ = now;
+    needs_listing_ = false;
+  } else if (ended == feed_call::kListStale) {
+    needs_listing_ = false;
+    listed_at_ = now;
+  }
+}
+
+void catalog_feed::PutOff(time_point now) {
+  ++failures_in_row_;
+  const milliseconds longest = is_reader_ ? settings_.longest_backoff
+                                          : settings_.longest_follower_backoff;
+  const std::uint32_t doublings = std::min(failures_in_row_ - 1, 5U);
+  const milliseconds pause =
+      std::min(settings_.first_backoff * (1 << doublings), longest);
+  next_call_ = now + pause / 2 +
+               milliseconds{random_.Below(
+                   static_cast<std::uint64_t>(pause.count() / 2) + 1)};
+}
+
+void catalog_feed::HearOfPeer(time_point now, milliseconds age) {
+  const time_point then = now - age;
+  fresh_at_ = fresh_at_ ? std::max(*fresh_at_, then) : then;
+}
+
+std::optional<milliseconds> catalog_feed::Age(time_point now) const {
+  std::optional<time_point> fresh = fresh_at_;
+  const duration waiting = now - in_flight_since_;
+  if (in_flight_ == feed_call::kWatch && waiting >= kWatchTaken &&
+      waiting < kWatchVouches) {
+    fresh = now;
+  }
+  if (!fresh) {
+    return std::nullopt;
+  }
+  return duration_cast<milliseconds>(now - *fresh);
+}
+
+}  // namespace wagtailmount
--- /dev/null
+++ b/Libraries/LibCatalog/catalog_feed.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+
+#include "LibBase/clock.h"
+#include "LibBase/error.h"
+#include "LibBase/random.h"
+
+namespace wagtailmount {
+
+/// What a node should ask the platform for now.
+enum class feed_call : std::uint8_t {
+  kNone,
+  kListStale,  ///< A whole listing that may be seconds old.
+  kList,       ///< A whole listing.
+  kWatch,      ///< The changes after what is held.
+};
+
+/// Decides when this node reads the platform itself, and how sure it may be
+/// that it holds the newest state. Readers watch all the time; the others only
+/// while no peer brings them fresh news, so that the platform's calls grow with
+/// the failure domains and not with the nodes.
+class catalog_feed {
+ public:
+  struct settings {
+    /// Peers' news older than this make a node read by itself. Source: a third
+    /// of the least bound on leaving upstreams, which is 2 s.
+    std::chrono::milliseconds stale_after{1'400};
+    /// Pause between two watches, so that changes in quick succession cost one
+    /// call. Source: a tenth of the least bound on leaving upstreams.
+    std::chrono::milliseconds watch_pause{200};
+    /// How long a node that has just listed waits for its peers' news. Source:
+    /// a few round trips between failure domains and a link's handshake.
+    std::chrono::milliseconds peer_grace{600};
+    std::chrono::milliseconds first_backoff{150};
+    std::chrono::milliseconds longest_backoff{600};
+    /// Of nodes that are no readers. Source: the time in which a reader's news
+    /// reach everybody, several times over.
+    std::chrono::milliseconds longest_follower_backoff{2'000};
+  };
+
+  catalog_feed(settings chosen, std::uint64_t seed)
+      : settings_(chosen), random_(seed) {}
+
+  void SetReader(bool is_reader) { is_reader_ = is_reader; }
+  bool IsReader() const { return is_reader_; }
+
+  /// The call to make now, unless one is in flight. `complete_to` is what the
+  /// node holds.
+  feed_call NextCall(time_point now, std::uint64_t complete_to);
+
+  /// The call has been made.
+  void Begin(time_point now, feed_call call);
+
+  /// The call in flight has ended; `failure` tells how when it failed.
+  void End(time_point now, const std::optional<error_kind>& failure,
+           bool has_changes);
+
+  /// A peer holds all that it knew at the platform `age` ago.
+  void HearOfPeer(time_point now, std::chrono::milliseconds age);
+
+  /// How long ago this node surely held the platform's newest state; none when
+  /// it never did.
+  std::optional<std::chrono::milliseconds> Age(time_point now) const;
+
+  bool IsInFlight() const { return in_flight_ != feed_call::kNone; }
+  /// When the platform last began to answer after it had failed.
+  time_point RegainedAt() const { return regained_at_; }
+  bool IsFailing() const { return failures_in_row_ > 0; }
+
+ private:
+  void PutOff(time_point now);
+
+  settings settings_;
+  random_source random_;
+  bool is_reader_ = false;
+  bool needs_listing_ = true;
+  bool may_list_stale_ = true;
+  feed_call in_flight_ = feed_call::kNone;
+  time_point in_flight_since_{};
+  time_point next_call_{};
+  time_point listed_at_{};
+  std::uint32_t failures_in_row_ = 0;
+  std::optional<time_point> fresh_at_;
+  time_point regained_at_{};
+};
+
+}  // namespace wagtailmount
--- /dev/null
+++ b/Libraries/LibCatalog/catalog_format.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "LibBase/error.h"
+#include "LibCatalog/catalog_item.h"
+#include "LibCatalog/upstream_record.h"
+#include "LibConfig/configuration.h"
+
+namespace wagtailmount {
+
+/// How a platform writes its entries, as a table of functions. Readers of
+/// content return kInvalidInput with the reason when it is malformed.
+struct catalog_format {
+  std::string_view configuration_key;
+  std::string_view upstream_prefix;
+  /// The configuration's own version number becomes the version's revision.
+  result<std::shared_ptr<const configuration>> (*read_configuration)(
+      const catalog_item& item);
+  result<upstream_record> (*read_upstream)(const catalog_item& item);
+};
+
+}  // namespace wagtailmount
--- /dev/null
+++ b/Libraries/LibCatalog/upstream_directory.cc
@@ -0,0 +1,155 @@
+#include "LibCatalog/upstream_directory.h"
+
+#include <algorithm>
+#include <functional>
+#include <set>
+
+namespace wagtailmount {
+
+namespace {
+
+/// How many requests may wait at an owner, in multiples of its slots. The
+/// admission refuses what would wait for too long; this bounds its memory.
+constexpr std::uint32_t kQueueInSlots = 8;
+
+std::uint64_t IncarnationOf(const registered_upstream& registered) {
+  return std::hash<std::string>{}(registered.record.id);
+}
+
+}  // namespace
+
+void upstream_directory::Update(
+    time_point now, std::span<const registered_upstream> registered,
+    bool is_doubtful) {
+  std::map<std::string, entry, std::less<>> updated;
+  for (const registered_upstream& each : registered) {
+    entry fresh{each, {}, {}};
+    const auto before = entries_.find(each.record.id);
+    if (each.record.is_leaving) {
+      const bool was_leaving = before != entries_.end() &&
+                               before->second.leaving_since != time_point{};
+      fresh.leaving_since = was_leaving ? before->second.leaving_since : now;
+    }
+    updated.emplace(each.record.id, std::move(fresh));
+  }
+  for (auto& [id, held] : entries_) {
+    if (updated.contains(id)) {
+      continue;
+    }
+    const bool is_kept_already = held.vanishes_at != time_point{};
+    const bool may_live = is_kept_already ? now < held.vanishes_at
+                                          : is_doubtful &&
+                                                !held.registered.record
+                                                     .is_leaving;
+    if (may_live) {
+      held.vanishes_at =
+          is_kept_already ? held.vanishes_at : now + settings_.doubt;
+      updated.emplace(id, std::move(held));
+    }
+  }
+  entries_ = std::move(updated);
+  if (const entry* const own = OwnEntry()) {
+    last_own_service_ = own->registered.record.service;
+    last_own_slots_ = own->registered.record.slots;
+  }
+}
+
+bool upstream_directory::Expire(time_point now) {
+  return std::erase_if(entries_, [now](const auto& item) {
+           const time_point end = item.second.vanishes_at;
+           return end != time_point{} && now >= end;
+         }) > 0;
+}
+
+// Of two starts at one address only the later one can be there.
+bool upstream_directory::IsSuperseded(const entry& candidate) const {
+  const registered_upstream& its = candidate.registered;
+  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
+    const registered_upstream& other = item.second.registered;
+    return other.record.backend_server == its.record.backend_server &&
+           other.created > its.created;
+  });
+}
+
+std::vector<std::shared_ptr<const service_upstreams>>
+upstream_directory::Upstreams() const {
+  std::map<std::string, std::shared_ptr<service_upstreams>> services;
+  for (const auto& [id, held] : entries_) {
+    const upstream_record& record = held.registered.record;
+    if (IsSuperseded(held)) {
+      continue;
+    }
+    auto& built = services[record.service];
+    if (built == nullptr) {
+      built = std::make_shared<service_upstreams>();
+      built->service = record.service;
+    }
+    upstream added;
+    added.vm = record.backend_server.address;
+    added.failure_domain = record.failure_domain;
+    added.region = settings_.region;
+    added.hop = {record.backend_server.address, settings_.hop_port};
+    added.incarnation = IncarnationOf(held.registered);
+    added.is_leaving = record.is_leaving;
+    added.backend_server_id = id;
+    added.slots = record.slots;
+    built->upstreams.push_back(std::move(added));
+  }
+  std::vector<std::shared_ptr<const service_upstreams>> all;
+  for (auto& [service, built] : services) {
+    all.push_back(std::move(built));
+  }
+  return all;
+}
+
+const upstream_directory::entry* upstream_directory::OwnEntry() const {
+  const entry* own = nullptr;
+  for (const auto& [id, held] : entries_) {
+    const bool is_own =
+        held.registered.record.backend_server == settings_.own_backend_server;
+    if (is_own &&
+        (own == nullptr || own->registered.created < held.registered.created)) {
+      own = &held;
+    }
+  }
+  return own;
+}
+
+const std::string& upstream_directory::KnownOwnService() const {
+  return last_own_service_.empty() ? settings_.own_service : last_own_service_;
+}
+
+own_backend_server upstream_directory::Own(
+    const upstream_limits& declared) const {
+  own_backend_server own;
+  own.service = KnownOwnService();
+  own.limits = declared;
+  if (last_own_slots_ > 0) {
+    own.limits.slots = last_own_slots_;
+  }
+  own.fleet_size =
+      std::max<std::uint32_t>(1, static_cast<std::uint32_t>(entries_.size()));
+  own.limits.queue = own.limits.slots * kQueueInSlots;
+  if (const entry* const held = OwnEntry()) {
+    own.leaving_since = held->leaving_since;
+  }
+  return own;
+}
+
+std::vector<neighbour> upstream_directory::Neighbours() const {
+  std::map<std::string, std::string> found;
+  for (const auto& [id, held] : entries_) {
+    const upstream_record& record = held.registered.record;
+    if (!record.is_leaving) {
+      found[record.backend_server.address] = record.failure_domain;
+    }
+  }
+  std::vector<neighbour> all;
+  all.reserve(found.size());
+  for (auto& [vm, domain] : found) {
+    all.push_back({vm, domain});
+  }
+  return all;
+}
+
+}  // namespace wagtailmount
--- a/Libraries/LibConfig/configuration.cc
+++ b/Libraries/LibConfig/configuration.cc
@@ -109,7 +109,9 @@
           return IsPrefixBefore(each->path_prefix, wanted);
         });
     for (; found != last && (*found)->path_prefix == prefix; ++found) {
-      if (TakesMethod(**found, method)) {
+      const bool is_below = path.size() > prefix.size() || prefix == "/";
+      if (TakesMethod(**found, method) &&
+          (is_below || !(*found)->matches_only_below)) {
         return found->get();
       }
     }
--- a/Libraries/LibConfig/configuration.h
+++ b/Libraries/LibConfig/configuration.h
@@ -52,6 +52,16 @@
   bool operator==(const upstream_limits&) const = default;
 };
 
+/// What a caller may send, and how long it may take or stay idle.
+struct request_limits {
+  std::uint32_t header_bytes = 16 * 1024;
+  std::uint64_t body_bytes = 64ULL * 1024 * 1024;
+  std::chrono::milliseconds header_timeout{5'000};
+  std::chrono::milliseconds idle_timeout{75'000};
+
+  bool operator==(const request_limits&) const = default;
+};
+
 /// What a service promises; reports measure against it.
 struct service_level {
   double success_share = 0.999;
@@ -99,12 +109,22 @@
   bool operator==(const header_set&) const = default;
 };
 
+/// The rank of a request: the lower, the earlier it is served. A platform may
+/// use further ranks after these.
 enum class request_priority : std::uint8_t { kInteractive, kBackground };
 
 enum class idempotency : std::uint8_t { kByMethod, kAlways, kNever };
 
 /// A route holds what it refers to, so a route without its service or resource
 /// can't be made.
+/// A share of a route's requests.
+struct route_part {
+  std::shared_ptr<const service> target;
+  std::uint32_t weight = 0;
+
+  bool operator==(const route_part&) const = default;
+};
+
 struct route {
   std::string name;
   std::string team;
@@ -114,6 +134,7 @@
   std::vector<std::string> methods;  ///< In name order; empty matches every
                                      ///< method.
   std::shared_ptr<const service> target;
+  std::vector<route_part> parts;  ///< Empty: all requests go to `target`.
   std::shared_ptr<const retry_policy>
       retry;  ///< Never null; the built-in policy when the file names none.
   std::shared_ptr<const header_set>
@@ -121,6 +142,10 @@
   request_priority priority = request_priority::kInteractive;
   idempotency repeatable = idempotency::kByMethod;
   std::chrono::milliseconds deadline{2'000};
+  /// Within that an answer is worth most to the caller; 0: not told.
+  std::chrono::milliseconds latency_objective{0};
+  /// Matches only what is below the prefix, not the prefix itself.
+  bool matches_only_below = false;
 
   /// Compares what it refers to by identity: an equal route refers to the very
   /// same service and resources.
@@ -140,6 +165,7 @@
     std::vector<config_file> files;                        ///< In name order.
     std::vector<std::shared_ptr<const service>> services;  ///< In name order.
     std::vector<std::shared_ptr<const route>> routes;  ///< Most specific first.
+    request_limits limits;
     std::shared_ptr<const detail::acceptance_record>
         record;  ///< What AcceptFolder() needs to re-use this version; may be
                  ///< null.
@@ -157,6 +183,7 @@
   std::span<const std::shared_ptr<const route>> Routes() const {
     return parts_.routes;
   }
+  const request_limits& Limits() const { return parts_.limits; }
 
   /// The service of this name, or null.
   std::shared_ptr<const service> FindService(std::string_view name) const;
--- a/Libraries/LibLink/message.h
+++ b/Libraries/LibLink/message.h
@@ -6,6 +6,7 @@
 #include <variant>
 #include <vector>
 
+#include "LibCatalog/catalog.h"
 #include "LibConfig/acceptance.h"
 #include "LibConfig/configuration.h"
 #include "LibMembership/vm_record.h"
@@ -100,9 +101,29 @@
   std::vector<std::uint64_t> bucket_hashes;
 };
 
+/// "My catalog is complete up to this revision." Sent every while, which is the
+/// heartbeat of a link too.
+struct catalog_state_message {
+  std::uint64_t complete_to = 0;
+  /// Time since the sender surely held the platform's newest state.
+  std::chrono::milliseconds source_age{0};
+};
+
+/// "Send me what changed after this revision."
+struct catalog_request_message {
+  std::uint64_t after = 0;
+};
+
+struct catalog_update_message {
+  catalog_update update;
+  std::chrono::milliseconds source_age{0};
+};
+
 using message = std::variant<hello_message, offer_message, pull_message,
                              manifest_message, files_request_message,
                              files_message, refusal_message, membership_message,
-                             compare_message, membership_request_message>;
+                             compare_message, membership_request_message,
+                             catalog_state_message, catalog_request_message,
+                             catalog_update_message>;
 
 }  // namespace wagtailmount
--- a/Libraries/LibLink/message_decoder.cc
+++ b/Libraries/LibLink/message_decoder.cc
@@ -250,10 +250,50 @@
   return request;
 }
 
+catalog_item ReadCatalogItem(const json& item, std::string& fault) {
+  constexpr std::size_t kItems = 5;
+  array_reader reader(item, "catalog item", kItems, fault);
+  catalog_item read;
+  read.key = ReadName(reader, "key");
+  read.revision = reader.Number("revision", kAnyNumber);
+  read.created = reader.Number("created", kAnyNumber);
+  read.is_removed = reader.Number("is removed", 1) == 1;
+  auto content = reader.Bytes("content", kLongestFileBytes);
+  if (!read.is_removed) {
+    read.content = std::make_shared<const std::string>(std::move(content));
+  }
+  return read;
+}
+
+message ReadCatalogState(const json& fields, std::string& fault) {
+  array_reader reader(fields, "catalog state", 2, fault);
+  catalog_state_message state;
+  state.complete_to = reader.Number("complete to", kAnyNumber);
+  state.source_age = ReadAge(reader, "source age");
+  return state;
+}
+
+message ReadCatalogRequest(const json& fields, std::string& fault) {
+  array_reader reader(fields, "catalog request", 1, fault);
+  return catalog_request_message{reader.Number("after", kAnyNumber)};
+}
+
+message ReadCatalogUpdate(const json& fields, std::string& fault) {
+  constexpr std::size_t kItems = 4;
+  array_reader reader(fields, "catalog update", kItems, fault);
+  catalog_update_message sent;
+  sent.update.after = reader.Number("after", kAnyNumber);
+  sent.update.complete_to = reader.Number("complete to", kAnyNumber);
+  sent.update.items = ReadList(reader.Any(), fault, ReadCatalogItem);
+  sent.source_age = ReadAge(reader, "source age");
+  return sent;
+}
+
 /// The readers in the order of the alternatives of `message`.
 constexpr std::array kReaders = {
     ReadHello, ReadOffer,   ReadPull,       ReadManifest, ReadFilesRequest,
     ReadFiles, ReadRefusal, ReadMembership, ReadCompare,  ReadMembershipRequest,
+    ReadCatalogState, ReadCatalogRequest, ReadCatalogUpdate,
 };
 static_assert(kReaders.size() == std::variant_size_v<message>);
 
--- a/Libraries/LibLink/message_encoder.cc
+++ b/Libraries/LibLink/message_encoder.cc
@@ -48,6 +48,16 @@
   return json::array({reason.file, reason.path, reason.reason});
 }
 
+json ToCbor(const catalog_item& item) {
+  const bool has_content = item.content != nullptr;
+  return json::array(
+      {item.key, item.revision, item.created, item.is_removed ? 1U : 0U,
+       json::binary(has_content ? std::vector<std::uint8_t>(
+                                      item.content->begin(),
+                                      item.content->end())
+                                : std::vector<std::uint8_t>{})});
+}
+
 template <typename T>
 json ToCbor(const std::vector<T>& items) {
   json list = json::array();
@@ -104,6 +114,19 @@
   return json::array({request.bucket_hashes});
 }
 
+json FieldsOf(const catalog_state_message& state) {
+  return json::array({state.complete_to, ToCbor(state.source_age)});
+}
+
+json FieldsOf(const catalog_request_message& request) {
+  return json::array({request.after});
+}
+
+json FieldsOf(const catalog_update_message& sent) {
+  return json::array({sent.update.after, sent.update.complete_to,
+                      ToCbor(sent.update.items), ToCbor(sent.source_age)});
+}
+
 }  // namespace
 
 std::string EncodeMessage(const message& content) {
--- a/Libraries/LibTraffic/admission.cc
+++ b/Libraries/LibLoad/admission.cc
@@ -1,4 +1,4 @@
-#include "LibTraffic/admission.h"
+#include "LibLoad/admission.h"
 
 #include <algorithm>
 
--- a/Libraries/LibTraffic/admission.h
+++ b/Libraries/LibLoad/admission.h
@@ -8,7 +8,7 @@
 
 #include "LibBase/clock.h"
 #include "LibConfig/configuration.h"
-#include "LibTraffic/attempt_outcome.h"
+#include "LibLoad/attempt_outcome.h"
 
 namespace wagtailmount {
 
--- a/Libraries/LibTraffic/attempt_outcome.cc
+++ b/Libraries/LibLoad/attempt_outcome.cc
@@ -1,4 +1,4 @@
-#include "LibTraffic/attempt_outcome.h"
+#include "LibLoad/attempt_outcome.h"
 
 #include <algorithm>
 #include <array>
--- a/Libraries/LibTraffic/retry.cc
+++ b/Libraries/LibLoad/retry.cc
@@ -1,4 +1,4 @@
-#include "LibTraffic/retry.h"
+#include "LibLoad/retry.h"
 
 #include <algorithm>
 #include <array>
--- a/Libraries/LibTraffic/retry.h
+++ b/Libraries/LibLoad/retry.h
@@ -4,7 +4,7 @@
 
 #include "LibConfig/configuration.h"
 #include "LibRouting/verdict.h"
-#include "LibTraffic/attempt_outcome.h"
+#include "LibLoad/attempt_outcome.h"
 
 namespace wagtailmount {
 
--- a/Libraries/LibMembership/membership_upstreams.cc
+++ b/Libraries/LibMembership/membership_upstreams.cc
@@ -55,7 +55,8 @@
     built->upstreams.push_back({record.vm, record.failure_domain, record.region,
                                 record.hop, record.incarnation,
                                 record.state == vm_state::kLeaving,
-                                IsSuspect(*held)});
+                                IsSuspect(*held),
+                                /*backend_server_id=*/{}, /*slots=*/0});
   }
   return built;
 }
--- /dev/null
+++ b/Libraries/LibNode/catalog_admin.cc
@@ -0,0 +1,45 @@
+#include "LibNode/catalog_admin.h"
+
+namespace wagtailmount {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kUnavailable = 503;
+
+json StatusOf(const catalog_control& control) {
+  const auto age = control.SourceAge();
+  const auto& in_force = control.InForce();
+  return {{"is_serving", control.IsServing()},
+          {"version", in_force == nullptr ? 0 : in_force->Version().revision},
+          {"complete_to", control.CompleteTo()},
+          {"source_age_ms", age ? age->count() : -1},
+          {"is_reader", control.IsReader()},
+          {"peers", control.PeerCount()},
+          {"platform_calls", control.PlatformCalls()},
+          {"platform_failures", control.PlatformFailures()}};
+}
+
+}  // namespace
+
+admin_answer catalog_admin::Answer(const admin_call& call) {
+  if (call.path != "/v1/status") {
+    return AdminError(kNotFound, "no such path; see docs/ADMIN-API.md");
+  }
+  json report = StatusOf(control_);
+  report["in_flight"] = traffic_.Counters().in_flight;
+  return {kOk, std::move(report)};
+}
+
+admin_answer readiness::Answer(const admin_call& call) {
+  if (call.path != path_) {
+    return AdminError(kNotFound, "no such path");
+  }
+  const bool is_ready = is_ready_();
+  return {is_ready ? kOk : kUnavailable, {{"is_ready", is_ready}}};
+}
+
+}  // namespace wagtailmount
--- /dev/null
+++ b/Libraries/LibNode/catalog_control.cc
@@ -0,0 +1,448 @@
+#include "LibNode/catalog_control.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "LibBase/digest.h"
+
+namespace wagtailmount {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// The heartbeat of links. Source: three in a row are missed before a follower
+/// reads by itself (catalog_feed::settings::stale_after).
+constexpr milliseconds kStatePeriod{450};
+/// A link that is silent for so long is closed. Source: four heartbeats.
+constexpr milliseconds kLinkSilence{1'800};
+constexpr milliseconds kLinkBackoff{1'000};
+/// Beyond that age of the platform's last word, entries that vanish may have
+/// lapsed while the platform was away. Source: catalog_feed's staleness.
+constexpr milliseconds kFreshAge{1'400};
+constexpr milliseconds kDoubt{2'500};
+/// How long a start waits for a confirmation of what a stale listing gave.
+/// Source: a link's handshake or a call, and a margin.
+constexpr milliseconds kLongestConfirmation{1'500};
+/// How long a watch waits at the platform. One that was lost there without a
+/// word is noticed that late at most. Source: less than the least bound on
+/// leaving upstreams, 2 s.
+constexpr milliseconds kWatchWait{1'500};
+
+upstream_directory::settings DirectorySettings(const node_settings& settings) {
+  upstream_directory::settings chosen;
+  chosen.own_backend_server = settings.backend_server;
+  chosen.own_service = settings.service;
+  chosen.region = settings.region;
+  chosen.hop_port = settings.advertised_hop.port;
+  return chosen;
+}
+
+peer_links::settings LinkSettings(const node_settings& settings) {
+  peer_links::settings chosen;
+  chosen.vm = settings.vm;
+  chosen.silence_limit = kLinkSilence;
+  chosen.greatest_backoff = kLinkBackoff;
+  return chosen;
+}
+
+}  // namespace
+
+catalog_control::catalog_control(const node_settings& settings,
+                                 const runtime_clock& clock,
+                                 catalog_source& source,
+                                 const catalog_format& format,
+                                 structured_log& log, snapshot_taker publish,
+                                 std::uint64_t seed)
+    : settings_(settings),
+      clock_(clock),
+      source_(source),
+      format_(format),
+      log_(log),
+      publish_(std::move(publish)),
+      started_(clock.UnixMilliseconds()),
+      started_at_(clock.Now()),
+      feed_({}, seed),
+      directory_(DirectorySettings(settings)),
+      links_(LinkSettings(settings), clock, *this, seed + 1),
+      unfresh_at_(clock.Now()) {}
+
+void catalog_control::Tick() {
+  const time_point now = clock_.Now();
+  links_.Tick();
+  CallPlatform(now);
+  WatchFreshness(now);
+  if (directory_.Expire(now)) {
+    is_snapshot_due_ = true;
+  }
+  PublishIfChanged();
+  SendToPeers(now);
+  const bool is_confirmed = is_fresh_ || now - started_at_ > kLongestConfirmation;
+  if (!is_serving_ && in_force_ != nullptr && is_confirmed) {
+    is_serving_ = true;
+    log_.Add(log_line{"serving"}
+                 .Number("version", static_cast<std::int64_t>(
+                                        in_force_->Version().revision))
+                 .Flag("is_fresh", is_fresh_));
+  }
+}
+
+void catalog_control::WatchFreshness(time_point now) {
+  const auto age = feed_.Age(now);
+  const bool is_fresh = age && *age < kFreshAge;
+  if (!is_fresh) {
+    unfresh_at_ = now;
+  }
+  if (is_fresh != is_fresh_) {
+    is_fresh_ = is_fresh;
+    log_.Add(log_line{is_fresh ? "catalog-fresh" : "catalog-not-fresh"}
+                 .Number("complete_to",
+                         static_cast<std::int64_t>(catalog_.CompleteTo()))
+                 .Number("age_ms", age ? age->count() : -1)
+                 .Flag("is_reader", feed_.IsReader())
+                 .Flag("is_platform_failing", feed_.IsFailing()));
+  }
+}
+
+void catalog_control::CallPlatform(time_point now) {
+  const feed_call call = feed_.NextCall(now, catalog_.CompleteTo());
+  if (call == feed_call::kNone) {
+    return;
+  }
+  feed_.Begin(now, call);
+  if (call == feed_call::kWatch) {
+    Watch();
+  } else {
+    List(call == feed_call::kListStale);
+  }
+}
+
+void catalog_control::List(bool may_be_stale) {
+  listed_.clear();
+  listed_from_ = 0;
+  ListFrom({}, may_be_stale);
+}
+
+void catalog_control::ListFrom(std::string after_key, bool may_be_stale) {
+  ++platform_calls_;
+  source_.List(after_key, may_be_stale,
+               [this, may_be_stale](result<catalog_page> answered) {
+                 TakePage(std::move(answered), may_be_stale);
+               });
+}
+
+void catalog_control::TakePage(result<catalog_page> answered,
+                               bool may_be_stale) {
+  if (!answered) {
+    EndCall(answered.error(), false);
+    return;
+  }
+  // Pages are no snapshot; nothing is missing up to the first one's revision.
+  if (listed_from_ == 0) {
+    listed_from_ = answered->revision;
+  }
+  for (catalog_item& item : answered->items) {
+    listed_.push_back(std::move(item));
+  }
+  if (answered->has_more && !listed_.empty()) {
+    ListFrom(listed_.back().key, may_be_stale);
+    return;
+  }
+  const auto changed = catalog_.TakeListing(listed_, listed_from_);
+  listed_.clear();
+  EndCall(std::nullopt, !changed.empty());
+  TakeChanges(changed);
+}
+
+void catalog_control::Watch() {
+  ++platform_calls_;
+  source_.Watch(catalog_.CompleteTo(),
+                kWatchWait,
+                [this, after = catalog_.CompleteTo()](
+                    result<catalog_changes> answered) {
+                  if (!answered) {
+                    EndCall(answered.error(), false);
+                    return;
+                  }
+                  const auto changed = catalog_.TakeUpdate(
+                      {after, answered->revision, std::move(answered->items)});
+                  EndCall(std::nullopt, !changed.empty());
+                  TakeChanges(changed);
+                });
+}
+
+void catalog_control::EndCall(const std::optional<error>& failure,
+                              bool has_changes) {
+  const time_point now = clock_.Now();
+  const bool was_failing = feed_.IsFailing();
+  feed_.End(now, failure ? std::optional{failure->kind} : std::nullopt,
+            has_changes);
+  platform_failures_ += failure ? 1 : 0;
+  if (failure) {
+    log_.Add(log_line{"platform-call-failed"}
+                 .Text("kind", NameOf(failure->kind))
+                 .Text("reason", failure->message)
+                 .Number("complete_to", static_cast<std::int64_t>(
+                                            catalog_.CompleteTo())));
+  } else if (was_failing) {
+    log_.Add(log_line{"platform-regained"}.Number(
+        "complete_to", static_cast<std::int64_t>(catalog_.CompleteTo())));
+  }
+}
+
+void catalog_control::TakeChanges(const std::vector<std::string>& keys) {
+  bool has_upstreams = false;
+  bool has_configuration = false;
+  for (const std::string& key : keys) {
+    has_configuration |= key == format_.configuration_key;
+    has_upstreams |= key.starts_with(format_.upstream_prefix);
+  }
+  if (has_configuration) {
+    TakeConfiguration();
+  }
+  if (has_upstreams) {
+    TakeUpstreams();
+  }
+  PublishIfChanged();
+  SendToPeers(clock_.Now());
+}
+
+void catalog_control::TakeConfiguration() {
+  const catalog_item* const item = catalog_.Find(format_.configuration_key);
+  if (item == nullptr) {
+    return;  // What is in force stays in force.
+  }
+  auto read = format_.read_configuration(*item);
+  if (!read) {
+    log_.Add(log_line{"configuration-refused"}
+                 .Text("reason", read.error().message)
+                 .Number("revision", static_cast<std::int64_t>(item->revision)));
+    return;
+  }
+  const bool is_older = in_force_ != nullptr &&
+                        (*read)->Version().revision <=
+                            in_force_->Version().revision;
+  if (is_older) {
+    log_.Add(log_line{"configuration-not-newer"}
+                 .Number("version", static_cast<std::int64_t>(
+                                        (*read)->Version().revision))
+                 .Number("in_force", static_cast<std::int64_t>(
+                                         in_force_->Version().revision)));
+    return;
+  }
+  in_force_ = *std::move(read);
+  is_snapshot_due_ = true;
+  log_.Add(
+      log_line{"configuration-in-force"}
+          .Number("version",
+                  static_cast<std::int64_t>(in_force_->Version().revision))
+          .Number("revision", static_cast<std::int64_t>(item->revision))
+          .Number("routes", static_cast<std::int64_t>(
+                                in_force_->Routes().size())));
+}
+
+void catalog_control::TakeUpstreams() {
+  std::vector<registered_upstream> registered;
+  std::map<std::string, decoded_upstream, std::less<>> decoded;
+  for (const catalog_item* const item :
+       catalog_.ItemsUnder(format_.upstream_prefix)) {
+    const auto before = decoded_.find(item->key);
+    decoded_upstream read{item->revision, std::nullopt};
+    if (before != decoded_.end() &&
+        before->second.revision == item->revision) {
+      read = before->second;
+    } else if (auto record = format_.read_upstream(*item)) {
+      read.record = *std::move(record);
+    } else {
+      // An entry that can't be read names no upstream and harms no other.
+      log_.Add(log_line{"upstream-unreadable"}
+                   .Text("key", item->key)
+                   .Text("reason", record.error().message));
+    }
+    if (read.record) {
+      registered.push_back({*read.record, item->created});
+    }
+    decoded.emplace(item->key, std::move(read));
+  }
+  decoded_ = std::move(decoded);
+  const bool is_same =
+      std::equal(registered.begin(), registered.end(), registered_.begin(),
+                 registered_.end(), [](const auto& left, const auto& right) {
+                   return left.created == right.created &&
+                          left.record == right.record;
+                 });
+  if (is_same) {
+    return;
+  }
+  registered_ = std::move(registered);
+  const time_point now = clock_.Now();
+  const bool is_doubtful = now - unfresh_at_ < kDoubt;
+  directory_.Update(now, registered_, is_doubtful);
+  is_snapshot_due_ = true;
+  log_.Add(log_line{"upstreams-changed"}
+               .Number("count", static_cast<std::int64_t>(registered_.size()))
+               .Number("complete_to",
+                       static_cast<std::int64_t>(catalog_.CompleteTo()))
+               .Flag("is_doubtful", is_doubtful));
+  ChoosePeers();
+}
+
+void catalog_control::PublishIfChanged() {
+  if (!is_snapshot_due_ || in_force_ == nullptr) {
+    return;
+  }
+  is_snapshot_due_ = false;
+  const auto declared = in_force_->FindService(directory_.OwnService());
+  publish_(std::make_shared<const routing_snapshot>(
+      in_force_, directory_.Upstreams(),
+      directory_.Own(declared ? declared->limits : upstream_limits{})));
+}
+
+// In each failure domain the VM of the lowest hash reads the platform. Every
+// node has a link to the reader of its own failure domain and to that of the
+// next, and readers have links to each other.
+void catalog_control::ChoosePeers() {
+  std::map<std::string, std::string> reader_of;  // By failure domain.
+  for (const neighbour& each : directory_.Neighbours()) {
+    std::string& best = reader_of[each.failure_domain];
+    if (best.empty() || HashOf(each.vm) < HashOf(best)) {
+      best = each.vm;
+    }
+  }
+  const auto own = reader_of.find(settings_.failure_domain);
+  const bool is_reader = own != reader_of.end() && own->second == settings_.vm;
+  if (is_reader != feed_.IsReader()) {
+    feed_.SetReader(is_reader);
+    log_.Add(log_line{"reader-role"}.Flag("is_reader", is_reader));
+  }
+  std::vector<wanted_peer> wanted;
+  const auto want = [&](const std::string& vm) {
+    if (vm != settings_.vm) {
+      wanted.push_back({vm, {vm, settings_.advertised_peer.port}});
+    }
+  };
+  if (is_reader) {
+    for (const auto& [domain, vm] : reader_of) {
+      want(vm);
+    }
+  } else if (own != reader_of.end()) {
+    want(own->second);
+    const auto next = std::next(own);
+    want(next == reader_of.end() ? reader_of.begin()->second : next->second);
+  } else if (!reader_of.empty()) {
+    want(reader_of.begin()->second);
+  }
+  links_.SetWanted(wanted);
+}
+
+milliseconds catalog_control::AgeToTell() const {
+  const auto age = feed_.Age(clock_.Now());
+  return age ? std::min(*age, kUnknownSourceAge) : kUnknownSourceAge;
+}
+
+// Changes go out at once; the state every while, as heartbeat.
+void catalog_control::SendToPeers(time_point now) {
+  const std::uint64_t complete_to = catalog_.CompleteTo();
+  const bool is_state_due = now >= next_state_;
+  if (complete_to == told_complete_to_ && !is_state_due) {
+    return;
+  }
+  told_complete_to_ = complete_to;
+  if (is_state_due) {
+    next_state_ = now + kStatePeriod;
+  }
+  for (const std::string& peer : links_.Peers()) {
+    const auto known = peers_complete_to_.find(peer);
+    if (known != peers_complete_to_.end() && known->second > 0 &&
+        known->second < complete_to) {
+      catalog_update update = catalog_.UpdateAfter(known->second);
+      if (!update.items.empty() &&
+          links_.Send(peer, catalog_update_message{std::move(update),
+                                                   AgeToTell()})) {
+        known->second = complete_to;
+        continue;
+      }
+    }
+    if (is_state_due) {
+      links_.Send(peer, catalog_state_message{complete_to, AgeToTell()});
+    }
+  }
+}
+
+hello_message catalog_control::MakeHello(std::string_view) {
+  hello_message hello;
+  hello.sender = {.vm = settings_.vm,
+                  .region = settings_.region,
+                  .failure_domain = settings_.failure_domain,
+                  .service = directory_.OwnService(),
+                  .peer = settings_.advertised_peer,
+                  .hop = settings_.advertised_hop,
+                  .incarnation = static_cast<std::uint64_t>(started_),
+                  .state = vm_state::kServing};
+  return hello;
+}
+
+void catalog_control::OnPeerUp(const std::string& peer_vm,
+                               const hello_message&) {
+  log_.Add(log_line{"peer-up"}.Text("peer", peer_vm));
+  peers_complete_to_[peer_vm] = 0;
+  links_.Send(peer_vm,
+              catalog_state_message{catalog_.CompleteTo(), AgeToTell()});
+}
+
+void catalog_control::OnPeerDown(const std::string& peer_vm,
+                                 std::string_view reason) {
+  log_.Add(log_line{"peer-down"}.Text("peer", peer_vm).Text("reason", reason));
+  peers_complete_to_.erase(peer_vm);
+}
+
+void catalog_control::OnPeerMessage(const std::string& peer_vm,
+                                    const message& content) {
+  if (const auto* state = std::get_if<catalog_state_message>(&content)) {
+    Handle(peer_vm, *state);
+  } else if (const auto* request =
+                 std::get_if<catalog_request_message>(&content)) {
+    Handle(peer_vm, *request);
+  } else if (const auto* sent = std::get_if<catalog_update_message>(&content)) {
+    Handle(peer_vm, *sent);
+  }
+}
+
+void catalog_control::Handle(const std::string& peer_vm,
+                             const catalog_state_message& state) {
+  peers_complete_to_[peer_vm] = state.complete_to;
+  if (state.complete_to > catalog_.CompleteTo()) {
+    links_.Send(peer_vm, catalog_request_message{catalog_.CompleteTo()});
+  } else if (state.complete_to == catalog_.CompleteTo()) {
+    feed_.HearOfPeer(clock_.Now(), state.source_age);
+  }
+}
+
+void catalog_control::Handle(const std::string& peer_vm,
+                             const catalog_request_message& request) {
+  if (catalog_.CompleteTo() <= request.after) {
+    return;
+  }
+  if (links_.Send(peer_vm,
+                  catalog_update_message{catalog_.UpdateAfter(request.after),
+                                         AgeToTell()})) {
+    peers_complete_to_[peer_vm] = catalog_.CompleteTo();
+  }
+}
+
+void catalog_control::Handle(const std::string& peer_vm,
+                             const catalog_update_message& sent) {
+  peers_complete_to_[peer_vm] =
+      std::max(peers_complete_to_[peer_vm], sent.update.complete_to);
+  if (sent.update.after > catalog_.CompleteTo()) {
+    links_.Send(peer_vm, catalog_request_message{catalog_.CompleteTo()});
+    return;
+  }
+  const auto changed = catalog_.TakeUpdate(sent.update);
+  if (catalog_.CompleteTo() == sent.update.complete_to) {
+    feed_.HearOfPeer(clock_.Now(), sent.source_age);
+  }
+  TakeChanges(changed);
+}
+
+}  // namespace wagtailmount
--- /dev/null
+++ b/Libraries/LibNode/catalog_control.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibBase/clock.h"
+#include "LibCatalog/catalog.h"
+#include "LibCatalog/catalog_feed.h"
+#include "LibCatalog/catalog_format.h"
+#include "LibCatalog/catalog_source.h"
+#include "LibCatalog/upstream_directory.h"
+#include "LibLog/structured_log.h"
+#include "LibNode/peer_links.h"
+#include "LibNode/settings.h"
+#include "LibRouting/routing_snapshot.h"
+
+namespace wagtailmount {
+
+/// All control state of a node whose platform publishes a catalog, on one
+/// thread: keeps the catalog complete, from the platform or from peers, and
+/// publishes routing snapshots. It does no I/O of its own.
+class catalog_control final : public peer_listener {
+ public:
+  using snapshot_taker =
+      std::function<void(std::shared_ptr<const routing_snapshot>)>;
+
+  /// All references must outlive the object.
+  catalog_control(const node_settings& settings, const runtime_clock& clock,
+                  catalog_source& source, const catalog_format& format,
+                  structured_log& log, snapshot_taker publish,
+                  std::uint64_t seed);
+
+  /// Must be called once before the first Tick().
+  void UseHub(link_hub& hub) { links_.UseHub(hub); }
+  link_listener& Links() { return links_; }
+
+  /// Moves everything on; call it every kTickPeriod.
+  void Tick();
+  static constexpr std::chrono::milliseconds kTickPeriod{100};
+
+  /// A configuration is in force that is fresh, or as fresh as can be had.
+  bool IsServing() const { return is_serving_; }
+
+  const std::shared_ptr<const configuration>& InForce() const {
+    return in_force_;
+  }
+  std::uint64_t CompleteTo() const { return catalog_.CompleteTo(); }
+  std::optional<std::chrono::milliseconds> SourceAge() const {
+    return feed_.Age(clock_.Now());
+  }
+  std::uint64_t PlatformCalls() const { return platform_calls_; }
+  std::uint64_t PlatformFailures() const { return platform_failures_; }
+  bool IsReader() const { return feed_.IsReader(); }
+  std::size_t PeerCount() const { return links_.Peers().size(); }
+
+  hello_message MakeHello(std::string_view peer_vm) override;
+  void OnPeerUp(const std::string& peer_vm,
+                const hello_message& hello) override;
+  void OnPeerDown(const std::string& peer_vm, std::string_view reason) override;
+  void OnPeerMessage(const std::string& peer_vm,
+                     const message& content) override;
+
+ private:
+  /// A content that was decoded before; a change of it has a higher revision.
+  struct decoded_upstream {
+    std::uint64_t revision = 0;
+    std::optional<upstream_record> record;
+  };
+
+  void CallPlatform(time_point now);
+  void List(bool may_be_stale);
+  void ListFrom(std::string after_key, bool may_be_stale);
+  void TakePage(result<catalog_page> answered, bool may_be_stale);
+  void Watch();
+  void EndCall(const std::optional<error>& failure, bool has_changes);
+
+  void TakeChanges(const std::vector<std::string>& keys);
+  void TakeConfiguration();
+  void TakeUpstreams();
+  void PublishIfChanged();
+  void WatchFreshness(time_point now);
+  void ChoosePeers();
+  void SendToPeers(time_point now);
+  std::chrono::milliseconds AgeToTell() const;
+  void Handle(const std::string& peer_vm, const catalog_state_message& state);
+  void Handle(const std::string& peer_vm,
+              const catalog_request_message& request);
+  void Handle(const std::string& peer_vm, const catalog_update_message& sent);
+
+  const node_settings& settings_;
+  const runtime_clock& clock_;
+  catalog_source& source_;
+  const catalog_format& format_;
+  structured_log& log_;
+  snapshot_taker publish_;
+  std::int64_t started_;
+  time_point started_at_;
+  catalog catalog_;
+  catalog_feed feed_;
+  upstream_directory directory_;
+  peer_links links_;
+
+  std::shared_ptr<const configuration> in_force_;
+  std::map<std::string, decoded_upstream, std::less<>> decoded_;
+  std::vector<registered_upstream> registered_;
+  std::vector<catalog_item> listed_;
+  std::uint64_t listed_from_ = 0;
+  std::uint64_t call_number_ = 0;
+  std::uint64_t platform_calls_ = 0;
+  std::uint64_t platform_failures_ = 0;
+  /// Up to which revision each peer is known to be complete.
+  std::map<std::string, std::uint64_t, std::less<>> peers_complete_to_;
+  std::uint64_t told_complete_to_ = 0;
+  time_point next_state_{};
+  time_point unfresh_at_{};  ///< When the catalog was last not known fresh.
+  bool is_fresh_ = false;
+  bool is_serving_ = false;
+  bool is_snapshot_due_ = false;
+};
+
+}  // namespace wagtailmount
--- /dev/null
+++ b/Libraries/LibNode/catalog_node.cc
@@ -0,0 +1,207 @@
+#include "LibNode/catalog_node.h"
+
+#include <csignal>
+#include <utility>
+
+#include "LibBase/digest.h"
+
+namespace wagtailmount {
+
+namespace {
+
+/// How long a stopping node still takes requests of its callers. Source: the
+/// platform asks for readiness once a second and takes two misses to believe.
+constexpr std::chrono::milliseconds kCallerNotice{2'600};
+/// How long requests may come on connections that callers opened at the last
+/// moment.
+constexpr std::chrono::milliseconds kLastRequests{300};
+/// What is left of the grace period when the process ends by itself, so that it
+/// closes its connections rather than the platform.
+constexpr std::chrono::milliseconds kEndMargin{250};
+
+}  // namespace
+
+catalog_node::catalog_node(const node_settings& settings,
+                           const platform_adapter& adapter,
+                           const runtime_clock& clock, settings_loader reload)
+    : settings_(settings),
+      adapter_(adapter),
+      clock_(clock),
+      reload_(std::move(reload)),
+      log_({}, clock) {}
+
+result<std::unique_ptr<catalog_node>> catalog_node::Create(
+    const node_settings& settings, const platform_adapter& adapter,
+    const runtime_clock& clock, settings_loader reload) {
+  std::unique_ptr<catalog_node> created(
+      new catalog_node(settings, adapter, clock, std::move(reload)));
+  return created->Open().map([&created] { return std::move(created); });
+}
+
+result<void> catalog_node::Open() {
+  const auto seed = HashOf(settings_.vm) ^
+                    static_cast<std::uint64_t>(clock_.UnixMilliseconds());
+  auto traffic =
+      traffic_server::Start({.vm = settings_.vm,
+                             .failure_domain = settings_.failure_domain,
+                             .region = settings_.region,
+                             .service = settings_.service,
+                             .caller = settings_.caller,
+                             .hop = settings_.hop,
+                             .backend_server = settings_.backend_server,
+                             .threads = settings_.traffic_threads,
+                             .seed = seed,
+                             .fields = adapter_.fields},
+                            clock_);
+  if (!traffic) {
+    return tl::unexpected(traffic.error());
+  }
+  traffic_ = *std::move(traffic);
+  auto source = adapter_.make_source(context_, settings_);
+  if (!source) {
+    return tl::unexpected(source.error());
+  }
+  source_ = *std::move(source);
+  control_ = std::make_unique<catalog_control>(
+      settings_, clock_, *source_, adapter_.format, log_,
+      [this](std::shared_ptr<const routing_snapshot> snapshot) {
+        traffic_->Publish(std::move(snapshot));
+      },
+      seed);
+  auto hub =
+      link_hub::Create(context_, {.listen = settings_.peer}, control_->Links());
+  if (!hub) {
+    return tl::unexpected(hub.error());
+  }
+  hub_ = *std::move(hub);
+  control_->UseHub(*hub_);
+  admin_ = std::make_unique<catalog_admin>(*control_, *traffic_);
+  auto admin = admin_server::Create(context_, settings_.admin, *admin_);
+  if (!admin) {
+    return tl::unexpected(admin.error());
+  }
+  admin_server_ = *std::move(admin);
+  readiness_ = std::make_unique<readiness>(adapter_.readiness_path, [this] {
+    return control_->IsServing() && !is_stopping_;
+  });
+  auto asked =
+      admin_server::Create(context_, settings_.readiness, *readiness_);
+  if (!asked) {
+    return tl::unexpected(asked.error());
+  }
+  readiness_server_ = *std::move(asked);
+  return {};
+}
+
+bool catalog_node::Run() {
+  log_.Add(log_line{"started"}
+               .Text("vm", settings_.vm)
+               .Text("failure_domain", settings_.failure_domain)
+               .Text("service", settings_.service));
+  signals_.add(SIGTERM);
+  signals_.add(SIGINT);
+  signals_.add(SIGHUP);
+  WaitForSignal();
+  Tick();
+  context_.run();
+  log_.Add(log_line{"stopped"}.Flag("is_clean", is_clean_));
+  log_.Flush();
+  return is_clean_;
+}
+
+void catalog_node::ScheduleTick() {
+  timer_.expires_after(catalog_control::kTickPeriod);
+  timer_.async_wait([this](const boost::system::error_code& failure) {
+    if (!failure) {
+      Tick();
+    }
+  });
+}
+
+void catalog_node::Tick() {
+  control_->Tick();
+  ContinueStop();
+  log_.Flush();
+  if (!context_.stopped()) {
+    ScheduleTick();
+  }
+}
+
+void catalog_node::WaitForSignal() {
+  signals_.async_wait(
+      [this](const boost::system::error_code& failure, int signal) {
+        if (!failure) {
+          TakeSignal(signal);
+        }
+      });
+}
+
+void catalog_node::TakeSignal(int signal) {
+  log_.Add(log_line{"signal"}.Number("signal", signal).Flag("is_stopping",
+                                                            is_stopping_));
+  if (signal == SIGHUP) {
+    Reload();
+  } else if (is_stopping_) {
+    Finish(traffic_->IsIdle());
+    return;
+  } else {
+    BeginStop();
+  }
+  WaitForSignal();
+}
+
+// Addresses can't change while they are open; what a reload can't put in force
+// is told.
+void catalog_node::Reload() {
+  const auto read = reload_();
+  if (!read) {
+    log_.Add(log_line{"settings-refused"}.Text("reason", read.error().message));
+    return;
+  }
+  const bool needs_restart = read->caller != settings_.caller ||
+                             read->hop != settings_.hop ||
+                             read->peer != settings_.peer ||
+                             read->backend_server != settings_.backend_server ||
+                             read->platform != settings_.platform;
+  settings_.drain_grace = read->drain_grace;
+  log_.Add(
+      log_line{"settings-reloaded"}.Flag("needs_restart", needs_restart));
+}
+
+void catalog_node::BeginStop() {
+  is_stopping_ = true;
+  stop_began_ = clock_.Now();
+  traffic_->BeginLeaving();
+  log_.Add(log_line{"stop-begun"}
+               .Number("in_flight", static_cast<std::int64_t>(
+                                        traffic_->Counters().in_flight))
+               .Number("grace_ms", settings_.drain_grace.count()));
+}
+
+void catalog_node::ContinueStop() {
+  if (!is_stopping_) {
+    return;
+  }
+  const duration passed = clock_.Now() - stop_began_;
+  if (passed >= kCallerNotice) {
+    traffic_->BeginDrain();
+  }
+  if (passed >= kCallerNotice + kLastRequests && traffic_->IsIdle()) {
+    Finish(true);
+  } else if (passed >= settings_.drain_grace - kEndMargin) {
+    log_.Add(log_line{"stop-cuts-requests"}.Number(
+        "in_flight",
+        static_cast<std::int64_t>(traffic_->Counters().in_flight)));
+    Finish(false);
+  }
+}
+
+void catalog_node::Finish(bool is_clean) {
+  is_clean_ = is_clean;
+  hub_->Stop();
+  admin_server_->Stop();
+  readiness_server_->Stop();
+  context_.stop();
+}
+
+}  // namespace wagtailmount
--- /dev/null
+++ b/Libraries/LibNode/catalog_node.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+
+#include "LibAdmin/admin_server.h"
+#include "LibBase/clock.h"
+#include "LibBase/error.h"
+#include "LibLink/link_hub.h"
+#include "LibLog/structured_log.h"
+#include "LibNode/catalog_admin.h"
+#include "LibNode/catalog_control.h"
+#include "LibNode/platform_adapter.h"
+#include "LibNode/settings.h"
+#include "LibTraffic/traffic_server.h"
+
+namespace wagtailmount {
+
+/// One process of the system on a platform that publishes a catalog. Its
+/// control thread is the one that calls Run().
+class catalog_node {
+ public:
+  /// Reads the settings file again; called on SIGHUP.
+  using settings_loader = std::function<result<node_settings>()>;
+
+  /// Opens every listening address, or fails and leaves none open. `clock` and
+  /// `adapter` must outlive the node.
+  static result<std::unique_ptr<catalog_node>> Create(
+      const node_settings& settings, const platform_adapter& adapter,
+      const runtime_clock& clock, settings_loader reload);
+
+  /// Serves until a planned stop is over. SIGTERM and SIGINT begin one; a
+  /// second one ends it at once. Returns false when requests in flight had to
+  /// be cut.
+  bool Run();
+
+ private:
+  catalog_node(const node_settings& settings, const platform_adapter& adapter,
+               const runtime_clock& clock, settings_loader reload);
+
+  result<void> Open();
+  void ScheduleTick();
+  void Tick();
+  void WaitForSignal();
+  void TakeSignal(int signal);
+  void Reload();
+  void BeginStop();
+  void ContinueStop();
+  void Finish(bool is_clean);
+
+  node_settings settings_;
+  const platform_adapter& adapter_;
+  const runtime_clock& clock_;
+  settings_loader reload_;
+  boost::asio::io_context context_{1};
+  boost::asio::signal_set signals_{context_};
+  boost::asio::steady_timer timer_{context_};
+  structured_log log_;
+  std::unique_ptr<traffic_server> traffic_;
+  std::unique_ptr<catalog_source> source_;
+  std::unique_ptr<catalog_control> control_;
+  std::unique_ptr<link_hub> hub_;
+  std::unique_ptr<catalog_admin> admin_;
+  std::unique_ptr<admin_server> admin_server_;
+  std::unique_ptr<readiness> readiness_;
+  std::unique_ptr<admin_server> readiness_server_;
+  bool is_stopping_ = false;
+  bool is_clean_ = true;
+  time_point stop_began_;
+};
+
+}  // namespace wagtailmount
--- a/Libraries/LibNode/node.cc
+++ b/Libraries/LibNode/node.cc
@@ -41,7 +41,8 @@
                              .hop = settings_.hop,
                              .backend_server = settings_.backend_server,
                              .threads = settings_.traffic_threads,
-                             .seed = seed},
+                             .seed = seed,
+                             .fields = {}},
                             clock_);
   if (!traffic) {
     return tl::unexpected(traffic.error());
--- a/Libraries/LibNode/settings.cc
+++ b/Libraries/LibNode/settings.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "LibBase/duration_text.h"
+
 namespace wagtailmount {
 
 namespace {
@@ -15,6 +17,9 @@
 constexpr std::uint64_t kDefaultDrainGraceMs = 30'000;
 constexpr std::uint64_t kDefaultJoinWaitMs = 5'000;
 
+constexpr std::string_view kFolderWord = "folder";
+constexpr std::string_view kCatalogWord = "catalog";
+
 using nlohmann::json;
 
 const json& EmptyObject() {
@@ -69,6 +74,9 @@
   settings.hop = ReadEndpoint(listen, "hop");
   settings.peer = ReadEndpoint(listen, "peer");
   settings.admin = ReadEndpoint(listen, "admin");
+  if (listen.Has("readiness")) {
+    settings.readiness = ReadEndpoint(listen, "readiness");
+  }
   listen.RefuseUnknownMembers();
 }
 
@@ -106,6 +114,13 @@
   if (settings.platform.empty()) {
     platform.AddFault("addresses", "must name at least one address");
   }
+  const std::string interface =
+      platform.OptionalText("interface", kFolderWord);
+  if (interface == kCatalogWord) {
+    settings.interface = platform_interface::kCatalog;
+  } else if (interface != kFolderWord) {
+    platform.AddFault("interface", "must be \"folder\" or \"catalog\"");
+  }
   settings.platform_calls_per_second = static_cast<std::uint32_t>(
       platform.RequiredNumber("calls_per_second", 1, kMaximumCallsPerSecond));
   settings.expected_vms = static_cast<std::uint32_t>(
@@ -113,6 +128,35 @@
   platform.RefuseUnknownMembers();
 }
 
+/// The grace period as a platform may write it, "6s".
+void ReadDrainGraceText(json_object_reader& root, node_settings& settings) {
+  if (!root.Has("drain_grace")) {
+    return;
+  }
+  const auto grace = ParseDuration(root.RequiredText("drain_grace"));
+  if (grace) {
+    settings.drain_grace = *grace;
+  } else {
+    root.AddFault("drain_grace", grace.error().message);
+  }
+}
+
+void ReadRetryBudget(json_object_reader& root, node_settings& settings,
+                     std::vector<document_fault>& faults) {
+  const json* section = root.OptionalObject("retries");
+  if (section == nullptr) {
+    return;
+  }
+  constexpr double kMostShare = 10.0;
+  constexpr std::uint64_t kMostSlack = 1'000'000;
+  json_object_reader retries(*section, root.PathOf("retries"), faults);
+  settings.retry_share =
+      retries.OptionalFraction("share", settings.retry_share, 0.0, kMostShare);
+  settings.retry_slack = static_cast<std::uint32_t>(
+      retries.OptionalNumber("slack", settings.retry_slack, 0, kMostSlack));
+  retries.RefuseUnknownMembers();
+}
+
 }  // namespace
 
 tl::expected<node_settings, std::vector<document_fault>> ParseNodeSettings(
@@ -138,6 +182,12 @@
       root.OptionalNumber("traffic_threads", 1, 1, kMaximumTrafficThreads));
   settings.drain_grace = std::chrono::milliseconds(root.OptionalNumber(
       "drain_grace_ms", kDefaultDrainGraceMs, 0, kMaximumDrainGraceMs));
+  ReadDrainGraceText(root, settings);
+  ReadRetryBudget(root, settings, faults);
+  if (settings.interface == platform_interface::kCatalog &&
+      settings.readiness.port == 0 && !root.Has("readiness")) {
+    root.AddFault("listen", "needs \"readiness\" with a catalog");
+  }
   settings.join_wait = std::chrono::milliseconds(root.OptionalNumber(
       "join_wait_ms", kDefaultJoinWaitMs, 0, kMaximumJoinWaitMs));
   root.RefuseUnknownMembers();
--- a/Libraries/LibNode/settings.h
+++ b/Libraries/LibNode/settings.h
@@ -13,6 +13,13 @@
 
 namespace wagtailmount {
 
+/// What the platform publishes.
+enum class platform_interface : std::uint8_t {
+  kFolder,   ///< The operators' folder and a list of VMs, as docs/PROTOCOLS.md
+             ///< says.
+  kCatalog,  ///< Entries under keys, as docs/PLATFORM.md says.
+};
+
 /// The settings of one node, from its settings file.
 struct node_settings {
   std::string vm;
@@ -27,6 +34,9 @@
                              ///< by another address; else the same.
   endpoint advertised_peer;  ///< The like for `peer`.
   endpoint backend_server;
+  endpoint readiness;  ///< Where the platform asks whether callers are taken;
+                       ///< only with a catalog.
+  platform_interface interface = platform_interface::kFolder;
   std::vector<endpoint> platform;  ///< Tried in turn.
   std::uint32_t platform_calls_per_second =
       0;                           ///< The platform's rate over all readers.
@@ -34,6 +44,10 @@
                                    ///< before the list is known.
   std::vector<endpoint> seeds;     ///< Peers to ask first; may be empty.
   std::uint32_t traffic_threads = 1;
+  /// Repeats of all nodes together, as a share of a service's requests and a
+  /// number beyond that; only with a catalog.
+  double retry_share = 0.1;
+  std::uint32_t retry_slack = 0;
   std::chrono::milliseconds drain_grace{
       30'000};  ///< What is in flight after that is cut.
   std::chrono::milliseconds join_wait{
--- a/Libraries/LibRouting/routing_snapshot.cc
+++ b/Libraries/LibRouting/routing_snapshot.cc
@@ -7,8 +7,11 @@
 
 routing_snapshot::routing_snapshot(
     std::shared_ptr<const configuration> accepted,
-    std::vector<std::shared_ptr<const service_upstreams>> upstreams)
-    : accepted_(std::move(accepted)), upstreams_(std::move(upstreams)) {}
+    std::vector<std::shared_ptr<const service_upstreams>> upstreams,
+    std::optional<own_backend_server> own)
+    : accepted_(std::move(accepted)),
+      upstreams_(std::move(upstreams)),
+      own_(std::move(own)) {}
 
 std::span<const upstream> routing_snapshot::UpstreamsOf(
     std::string_view service) const {
--- a/Libraries/LibTraffic/answers.cc
+++ b/Libraries/LibTraffic/answers.cc
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr unsigned kVersion11 = 11;
-constexpr std::chrono::seconds kLongestSpread{4};
 constexpr std::chrono::seconds kLingerTimeout{1};
 constexpr std::size_t kMaximumLingerBytes = std::size_t{1024} * 1024;
 
@@ -19,14 +18,21 @@
          status == http::status::not_modified;
 }
 
-}  // namespace
-
-std::chrono::seconds SpreadRetryAfter(random_source& random) {
-  const auto spread =
-      random.Below(static_cast<std::uint64_t>(kLongestSpread.count()));
-  return std::chrono::seconds{1 + static_cast<std::int64_t>(spread)};
+// In seconds, with a fraction where there is one.
+std::string SecondsText(std::chrono::milliseconds span) {
+  constexpr int kMillisecondsASecond = 1000;
+  const auto whole = span.count() / kMillisecondsASecond;
+  const auto fraction = span.count() % kMillisecondsASecond;
+  std::string text = std::to_string(whole);
+  if (fraction > 0) {
+    const std::string digits = std::to_string(kMillisecondsASecond + fraction);
+    text += "." + digits.substr(1);
+  }
+  return text;
 }
 
+}  // namespace
+
 task<bool> WriteRefusal(http_connection& connection, refusal_answer refusal) {
   incoming_answer answer;
   http_response& message = answer.message;
@@ -39,7 +45,10 @@
   }
   if (refusal.retry_after.count() > 0) {
     message.set(http::field::retry_after,
-                std::to_string(refusal.retry_after.count()));
+                SecondsText(refusal.retry_after));
+  }
+  if (refusal.has_arrived) {
+    SetField(message, kArrivedField, "1");
   }
   message.set(http::field::content_type, "text/plain");
   message.keep_alive(refusal.is_kept);
--- a/Libraries/LibTraffic/answers.h
+++ b/Libraries/LibTraffic/answers.h
@@ -5,7 +5,7 @@
 
 #include "LibBase/random.h"
 #include "LibRouting/verdict.h"
-#include "LibTraffic/attempt_outcome.h"
+#include "LibLoad/attempt_outcome.h"
 #include "LibTraffic/http_message.h"
 
 /// The answers that this node gives by itself, and the finish of those it
@@ -18,15 +18,13 @@
   verdict proved = verdict::kNotRun;
   std::string_view reason;
   std::string_view request_id;          ///< Empty when there is none.
-  std::chrono::seconds retry_after{0};  ///< 0: coming back makes no sense.
+  /// 0: coming back makes no sense.
+  std::chrono::milliseconds retry_after{0};
   bool is_kept = true;                  ///< Whether the connection stays open.
   bool is_head = false;                 ///< Answers a HEAD request.
+  bool has_arrived = false;  ///< At a backend server; told to other nodes.
 };
 
-/// Seconds after which to come back, spread so that callers who were refused
-/// together don't return together.
-std::chrono::seconds SpreadRetryAfter(random_source& random);
-
 /// False when the connection failed.
 task<bool> WriteRefusal(http_connection& connection, refusal_answer refusal);
 
--- a/Libraries/LibTraffic/backend_gate.h
+++ b/Libraries/LibTraffic/backend_gate.h
@@ -8,7 +8,7 @@
 #include <mutex>
 #include <span>
 
-#include "LibTraffic/admission.h"
+#include "LibLoad/admission.h"
 #include "LibTraffic/http_connection.h"
 #include "LibTraffic/http_types.h"
 
--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -1,14 +1,18 @@
 #include "LibTraffic/answers.h"
 #include "LibTraffic/entry.h"
+#include "LibLoad/return_time.h"
 #include "LibTraffic/header_fields.h"
 #include "LibTraffic/request_reading.h"
-#include "LibTraffic/retry.h"
+#include "LibLoad/retry.h"
 #include "LibTraffic/sessions.h"
 
 namespace wagtailmount::detail {
 
 namespace {
 
+// The patience that a caller is taken to have when its route is not known.
+constexpr std::chrono::seconds kUnknownPatience{2};
+
 // How a connection goes on after one request.
 enum class next_step : std::uint8_t { kKeep, kCloseGently, kCut };
 
@@ -38,10 +42,26 @@
   return id;
 }
 
-time_point DeadlineOf(const http::fields& fields, const route& chosen,
+// The part of a route's split that a request goes to, drawn by weight.
+const service& DrawTarget(const route& chosen, random_source& random) {
+  std::uint64_t whole = 0;
+  for (const route_part& part : chosen.parts) {
+    whole += part.weight;
+  }
+  std::uint64_t left = random.Below(whole);
+  for (const route_part& part : chosen.parts) {
+    if (left < part.weight) {
+      return *part.target;
+    }
+    left -= part.weight;
+  }
+  return *chosen.target;
+}
+
+time_point DeadlineOf(std::string_view wish, const route& chosen,
                       time_point now) {
   std::chrono::milliseconds allowed = chosen.deadline;
-  const auto wished = ParseNumber(FieldOf(fields, kCallerDeadlineField));
+  const auto wished = ParseNumber(wish);
   if (wished && *wished < static_cast<std::uint64_t>(allowed.count())) {
     allowed = std::chrono::milliseconds{*wished};
   }
@@ -52,12 +72,15 @@
 class caller_request {
  public:
   caller_request(traffic_worker& worker, http_connection& caller)
-      : worker_(worker), state_(worker.state), caller_(caller) {
-    SetUp(parser_);
+      : worker_(worker),
+        state_(worker.state),
+        caller_(caller),
+        snapshot_(worker.state.snapshot.load()) {
+    SetUp(parser_, Limits());
   }
 
   task<next_step> Serve() {
-    const auto fault = co_await ReadRequestHeader(caller_, parser_);
+    const auto fault = co_await ReadRequestHeader(caller_, parser_, Limits());
     ++state_.counters.requests;
     if (fault) {
       co_return co_await RefuseForm(*fault);
@@ -68,28 +91,38 @@
     if (id_.empty()) {
       id_ = MakeRequestId(worker_);
     }
-    const auto snapshot = state_.snapshot.load();
+    snapshot_ = state_.snapshot.load();
     if (state_.is_draining) {
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kDraining);
     }
-    if (snapshot == nullptr) {
+    if (snapshot_ == nullptr) {
       co_return co_await Refuse(verdict::kNotRun,
                                 refusal_cause::kNoConfiguration);
     }
-    const route* const chosen = snapshot->Configuration().FindRoute(
+    const route* const chosen = snapshot_->Configuration().FindRoute(
         HostOf(ToStandard(head[http::field::host])),
         PathOf(ToStandard(head.target())), ToStandard(head.method_string()));
     if (chosen == nullptr) {
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kNoRoute);
     }
-    const next_step next = co_await Run(*snapshot, *chosen);
+    const next_step next = co_await Run(*snapshot_, *chosen);
     co_return next;
   }
 
  private:
+  request_limits Limits() const {
+    return snapshot_ == nullptr ? request_limits{}
+                                : snapshot_->Configuration().Limits();
+  }
+
   task<next_step> Run(const routing_snapshot& snapshot, const route& chosen) {
     begin_ = state_.clock.Now();
-    const time_point deadline = DeadlineOf(parser_.get(), chosen, begin_);
+    const request_fields& fields = state_.settings.fields;
+    const time_point deadline = DeadlineOf(
+        FieldOf(parser_.get(), fields.caller_deadline), chosen, begin_);
+    deadline_ = deadline;
+    objective_ = begin_ + chosen.latency_objective;
+    const service& target = DrawTarget(chosen, worker_.random);
     outgoing_request request;
     const body_status read =
         co_await ReadRequestBody(caller_, parser_, request);
@@ -99,6 +132,10 @@
     RemoveConnectionAndOwnFields(request.message);
     SetFraming(request, parser_);
     SetField(request.message, kRequestIdField, id_);
+    if (!fields.caller_service.empty()) {
+      SetField(request.message, fields.caller_service,
+               traffic_state::OwnService(state_.settings, snapshot));
+    }
     if (chosen.headers != nullptr) {
       for (const header_field& field : chosen.headers->fields) {
         SetField(request.message, field.name, field.value);
@@ -107,9 +144,9 @@
     const bool is_idempotent = IsIdempotent(
         chosen.repeatable, ToStandard(request.message.method_string()));
     entry_result result = co_await RunRequest(
-        worker_, entry_request{request, caller_, chosen, snapshot, deadline,
-                               is_idempotent});
-    Record(chosen, result);
+        worker_, entry_request{request, caller_, chosen, target, snapshot,
+                               deadline, is_idempotent});
+    Record(chosen, target, result);
     if (!result.answer) {
       co_return co_await Refuse(result.proved, result.cause);
     }
@@ -128,12 +165,13 @@
     return parser_.is_done() && parser_.keep_alive() && !state_.is_leaving;
   }
 
-  void Record(const route& chosen, const entry_result& result) {
+  void Record(const route& chosen, const service& target,
+              const entry_result& result) {
     const time_point now = state_.clock.Now();
     const bool is_failed =
         !result.answer || IsServerError(result.answer->message);
-    state_.statistics.Add(now, *chosen.target, is_failed, now - begin_);
-    state_.decisions.Add({id_, chosen.name, chosen.target->name,
+    state_.statistics.Add(now, target, is_failed, now - begin_);
+    state_.decisions.Add({id_, chosen.name, target.name,
                           std::string{result.upstream}, result.why,
                           result.attempts, result.proved, result.cause});
   }
@@ -141,10 +179,15 @@
   task<next_step> Refuse(verdict proved, refusal_cause cause) {
     CountVerdict(state_.counters, proved);
     const bool is_kept = MayKeep() && cause != refusal_cause::kBodyLost;
-    refusal_answer refusal{StatusOf(cause),         proved,  NameOf(cause), id_,
-                           std::chrono::seconds{0}, is_kept, is_head_};
-    if (MakesSenseToComeBack(cause)) {
-      refusal.retry_after = SpreadRetryAfter(worker_.random);
+    refusal_answer refusal;
+    refusal.status = StatusOf(cause);
+    refusal.proved = proved;
+    refusal.reason = NameOf(cause);
+    refusal.request_id = id_;
+    refusal.is_kept = is_kept;
+    refusal.is_head = is_head_;
+    if (MakesSenseToComeBack(cause) && proved == verdict::kNotRun) {
+      refusal.retry_after = RetryAfter();
     }
     const bool is_written = co_await WriteRefusal(caller_, refusal);
     if (!is_written) {
@@ -153,19 +196,26 @@
     co_return is_kept ? next_step::kKeep : next_step::kCloseGently;
   }
 
+  std::chrono::milliseconds RetryAfter() {
+    const time_point now = state_.clock.Now();
+    if (deadline_ == time_point{}) {
+      // Refused before its route was known.
+      return ReturnAfter(kUnknownPatience, duration::zero(), worker_.random);
+    }
+    return ReturnAfter(deadline_ - now, objective_ - now, worker_.random);
+  }
+
   task<next_step> RefuseForm(reading_fault found) {
     if (!found.is_answerable) {
       co_return next_step::kCut;
     }
     ++state_.counters.bad_requests;
     CountVerdict(state_.counters, verdict::kNotRun);
-    const refusal_answer refusal{found.fault.status,
-                                 verdict::kNotRun,
-                                 found.fault.reason,
-                                 {},
-                                 std::chrono::seconds{0},
-                                 false,
-                                 is_head_};
+    refusal_answer refusal;
+    refusal.status = found.fault.status;
+    refusal.reason = found.fault.reason;
+    refusal.is_kept = false;
+    refusal.is_head = is_head_;
     const bool is_written = co_await WriteRefusal(caller_, refusal);
     co_return is_written ? next_step::kCloseGently : next_step::kCut;
   }
@@ -180,9 +230,12 @@
   traffic_worker& worker_;
   traffic_state& state_;
   http_connection& caller_;
+  std::shared_ptr<const routing_snapshot> snapshot_;
   http_request_parser parser_;
   std::string id_;
   time_point begin_{};
+  time_point deadline_{};   ///< Zero until the route is known.
+  time_point objective_{};  ///< When an answer loses its full worth.
   bool is_head_ = false;
 };
 
@@ -195,7 +248,7 @@
   while (next == next_step::kKeep) {
     // NOTE: g++ 12 evaluates a co_await on the right of && in a condition
     // whatever the left side says, so it stands by itself.
-    const bool has_request = co_await AwaitRequest(caller);
+    const bool has_request = co_await AwaitRequest(caller, worker.state.idle_timeout.load());
     if (!has_request) {
       break;
     }
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -6,7 +6,7 @@
 
 #include "LibTraffic/header_fields.h"
 #include "LibTraffic/owner.h"
-#include "LibTraffic/retry.h"
+#include "LibLoad/retry.h"
 
 namespace wagtailmount::detail {
 
@@ -17,6 +17,9 @@
 constexpr std::chrono::milliseconds kHopMargin{10};
 constexpr int kHopMarginDivisor = 10;
 constexpr std::chrono::milliseconds kMaximumHopIdle{30'000};
+// How many owners are asked for one request. Refusals by owners cost little,
+// but each one takes time that the request could wait elsewhere.
+constexpr std::uint32_t kMostOwnersAsked = 4;
 
 time_point OwnerDeadline(time_point deadline, time_point now) {
   const duration share = (deadline - now) / kHopMarginDivisor;
@@ -28,13 +31,11 @@
                      duration left) {
   const auto left_ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(left);
-  const bool is_interactive =
-      asked.chosen_route.priority == request_priority::kInteractive;
-  SetField(message, kHopServiceField, asked.chosen_route.target->name);
+  const auto rank = static_cast<unsigned>(asked.chosen_route.priority);
+  SetField(message, kHopServiceField, asked.target.name);
   SetField(message, kHopVmField, owner.vm);
   SetField(message, kHopDeadlineField, std::to_string(left_ms.count()));
-  SetField(message, kHopPriorityField,
-           is_interactive ? kInteractiveWord : kBackgroundWord);
+  SetField(message, kHopPriorityField, std::to_string(rank));
   SetField(message, kHopAttemptField, std::to_string(attempt));
 }
 
@@ -49,6 +50,7 @@
     return;
   }
   result.cause = CauseOf(FieldOf(result.answer->message, kReasonField));
+  result.has_arrived = !FieldOf(result.answer->message, kArrivedField).empty();
   if (told == NameOf(verdict::kNotRun)) {
     result.outcome = attempt_outcome::kRefusedNotRun;
   } else if (told == NameOf(verdict::kMayHaveRun)) {
@@ -124,7 +126,7 @@
       : worker_(worker),
         state_(worker.state),
         asked_(asked),
-        target_(*asked.chosen_route.target),
+        target_(asked.target),
         view_(worker.ViewOf(target_.name)),
         upstreams_(asked.snapshot.UpstreamsOf(target_.name)),
         watch_(asked.caller) {
@@ -175,12 +177,13 @@
                                           : refusal_cause::kDeadline;
       return std::nullopt;
     }
-    if (result.attempts >= asked_.chosen_route.retry->attempts) {
+    if (arrivals_ >= asked_.chosen_route.retry->attempts ||
+        result.attempts >= kMostOwnersAsked) {
       return std::nullopt;
     }
     auto choice = view_.chooser.Choose(
         now, upstreams_, tried_, target_.limits.slow_start, worker_.random);
-    const bool is_retry = result.attempts > 0;
+    const bool is_retry = arrivals_ > 0;
     if (!choice || !is_retry) {
       return choice;
     }
@@ -198,6 +201,11 @@
     ++state_.counters.attempts;
     const time_point begin = state_.clock.Now();
     view_.chooser.Begin(chosen.vm);
+    const std::string_view id_field =
+        state_.settings.fields.expected_backend_server;
+    if (!id_field.empty()) {
+      SetField(asked_.request.message, id_field, chosen.backend_server_id);
+    }
     attempt_result ended;
     if (chosen.vm == state_.settings.vm) {
       ended = co_await RunAtBackendServer(
@@ -209,12 +217,31 @@
     }
     const time_point end = state_.clock.Now();
     view_.chooser.End(end, chosen.vm, SignOf(ended), end - begin);
+    arrivals_ += HasArrived(ended) ? 1 : 0;
     const attempt_judgement judged =
         Judge(ended.outcome, ended.cause, asked_.is_idempotent);
     result.proved = Combine(result.proved, judged.proved);
+    if (!ended.answer) {
+      // An earlier answer, if there is one, is better than none.
+      result.cause =
+          result.answer ? refusal_cause::kNone : judged.cause;
+      co_return judged.may_try_again;
+    }
+    const bool may_be_better = asked_.is_idempotent &&
+                               IsServerError(ended.answer->message) &&
+                               ended.answer->rest == nullptr;
     result.cause = judged.cause;
     result.answer = std::move(ended.answer);
-    co_return judged.may_try_again;
+    co_return may_be_better;
+  }
+
+  // Whether a backend server may have begun to read the request, so that
+  // another attempt would be a repeat.
+  static bool HasArrived(const attempt_result& ended) {
+    return ended.has_arrived ||
+           (ended.outcome != attempt_outcome::kRefusedNotRun &&
+            ended.outcome != attempt_outcome::kConnectFailed &&
+            ended.outcome != attempt_outcome::kClosedBeforeFirstByte);
   }
 
   traffic_worker& worker_;
@@ -224,6 +251,7 @@
   service_view& view_;
   std::span<const upstream> upstreams_;
   std::vector<const upstream*> tried_;
+  std::uint32_t arrivals_ = 0;
   departure_watch watch_;
 };
 
--- a/Libraries/LibTraffic/entry.h
+++ b/Libraries/LibTraffic/entry.h
@@ -13,6 +13,7 @@
   outgoing_request& request;
   http_connection& caller;
   const route& chosen_route;
+  const service& target;
   const routing_snapshot& snapshot;  ///< Kept until the request's end.
   time_point deadline;
   bool is_idempotent = false;
--- a/Libraries/LibTraffic/exchange.cc
+++ b/Libraries/LibTraffic/exchange.cc
@@ -54,12 +54,6 @@
                         make_error_code(http::error::bad_status).category();
 }
 
-// Whether the end of the body is marked; a close alone can't be told from a
-// truncation.
-bool HasSureEnd(http_response_parser& parser) {
-  return parser.is_done() || !parser.need_eof();
-}
-
 bool IsIdOf(const outgoing_request& request, const http_response& answer,
             id_rule rule) {
   const std::string_view told = FieldOf(answer, kRequestIdField);
@@ -84,10 +78,6 @@
                                           : attempt_outcome::kNoAnswerInTime;
     co_return result;
   }
-  if (!HasSureEnd(*parser)) {
-    result.outcome = attempt_outcome::kAnswerMalformed;
-    co_return result;
-  }
   if (!IsIdOf(request, parser->get(), rule)) {
     result.outcome = attempt_outcome::kIdMismatch;
     co_return result;
--- a/Libraries/LibTraffic/exchange.h
+++ b/Libraries/LibTraffic/exchange.h
@@ -5,7 +5,7 @@
 #include <string_view>
 
 #include "LibBase/clock.h"
-#include "LibTraffic/attempt_outcome.h"
+#include "LibLoad/attempt_outcome.h"
 #include "LibTraffic/departure_watch.h"
 #include "LibTraffic/http_message.h"
 
@@ -16,6 +16,9 @@
   attempt_outcome outcome = attempt_outcome::kConnectFailed;
   refusal_cause cause = refusal_cause::kNone;  ///< With a refusal.
   std::optional<incoming_answer> answer;       ///< With kAnswered.
+  /// Some of the request was sent to a backend server, which counts it even if
+  /// it refuses it.
+  bool has_arrived = false;
 };
 
 /// What is asked of the answer's "X-Request-Id".
--- a/Libraries/LibTraffic/header_fields.h
+++ b/Libraries/LibTraffic/header_fields.h
@@ -15,8 +15,6 @@
 
 inline constexpr std::string_view kVerdictField = "Wagtailmount-Verdict";
 inline constexpr std::string_view kReasonField = "Wagtailmount-Reason";
-inline constexpr std::string_view kCallerDeadlineField =
-    "Wagtailmount-Deadline-Ms";
 inline constexpr std::string_view kHopServiceField = "Wagtailmount-Hop-Service";
 inline constexpr std::string_view kHopVmField = "Wagtailmount-Hop-Vm";
 inline constexpr std::string_view kHopDeadlineField =
@@ -24,11 +22,9 @@
 inline constexpr std::string_view kHopPriorityField =
     "Wagtailmount-Hop-Priority";
 inline constexpr std::string_view kHopAttemptField = "Wagtailmount-Hop-Attempt";
+/// In a refusal: some of the request was sent to the backend server.
+inline constexpr std::string_view kArrivedField = "Wagtailmount-Arrived";
 inline constexpr std::string_view kRequestIdField = "X-Request-Id";
-inline constexpr std::string_view kBackendDeadlineField = "X-Deadline-Ms";
-inline constexpr std::string_view kNotRunField = "X-Not-Run";
-inline constexpr std::string_view kInteractiveWord = "interactive";
-inline constexpr std::string_view kBackgroundWord = "background";
 
 /// For Boost's functions, which take a string_view of their own.
 inline boost::beast::string_view ToBoost(std::string_view text) {
@@ -51,6 +47,11 @@
   fields.set(ToBoost(name), ToBoost(value));
 }
 
+inline bool IsSuccess(const http_response& message) {
+  return http::to_status_class(message.result()) ==
+         http::status_class::successful;
+}
+
 /// Whether the status says that the server failed.
 inline bool IsServerError(const http_response& message) {
   constexpr unsigned kFirstServerError = 500;
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -2,24 +2,32 @@
 #include "LibTraffic/header_fields.h"
 #include "LibTraffic/owner.h"
 #include "LibTraffic/request_reading.h"
-#include "LibTraffic/retry.h"
+#include "LibLoad/retry.h"
 #include "LibTraffic/sessions.h"
 
 namespace wagtailmount::detail {
 
 namespace {
 
+// The entry holds callers to the configuration's limits; what another node
+// sends may be a little longer for the fields added there.
+const request_limits kHopLimits{
+    .header_bytes = 128 * 1024,
+    .body_bytes = std::uint64_t{1} << 40U,
+    .header_timeout = std::chrono::seconds{5},
+    .idle_timeout = kIdleHopTimeout};
+
 // One request of another node, from its header section to its answer.
 class hop_request {
  public:
   hop_request(traffic_worker& worker, http_connection& asker)
       : worker_(worker), state_(worker.state), asker_(asker) {
-    SetUp(parser_);
+    SetUp(parser_, kHopLimits);
   }
 
   /// False when the connection can't carry another request.
   task<bool> Serve() {
-    const auto fault = co_await ReadRequestHeader(asker_, parser_);
+    const auto fault = co_await ReadRequestHeader(asker_, parser_, kHopLimits);
     if (fault) {
       co_return false;
     }
@@ -34,14 +42,13 @@
     if (state_.is_leaving) {
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kDraining);
     }
-    if (FieldOf(head, kHopVmField) != state_.settings.vm ||
-        FieldOf(head, kHopServiceField) != state_.settings.service) {
+    if (!IsForThisVm(head)) {
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kWrongOwner);
     }
-    const bool is_background =
-        FieldOf(head, kHopPriorityField) == kBackgroundWord;
-    priority_ = is_background ? request_priority::kBackground
-                              : request_priority::kInteractive;
+    constexpr std::uint64_t kLastRank = 255;
+    const auto rank = ParseNumber(FieldOf(head, kHopPriorityField));
+    priority_ = static_cast<request_priority>(
+        std::min(rank.value_or(kLastRank), kLastRank));
     constexpr std::uint64_t kLongestDeadlineMs = 3'600'000;
     deadline_ =
         now + std::chrono::milliseconds{std::min(*left, kLongestDeadlineMs)};
@@ -49,6 +56,16 @@
   }
 
  private:
+  // Where the backend server itself checks which start of it is meant, that
+  // settles the service too.
+  bool IsForThisVm(const http_request& head) const {
+    const bool is_checked_there =
+        !FieldOf(head, state_.settings.fields.expected_backend_server).empty();
+    return FieldOf(head, kHopVmField) == state_.settings.vm &&
+           (is_checked_there ||
+            FieldOf(head, kHopServiceField) == state_.settings.service);
+  }
+
   task<bool> Run() {
     outgoing_request request;
     const body_status read = co_await ReadRequestBody(asker_, parser_, request);
@@ -68,7 +85,8 @@
       // the asker to say.
       const attempt_judgement judged =
           Judge(result.outcome, result.cause, false);
-      co_return co_await Refuse(judged.proved, judged.cause);
+      co_return co_await Refuse(judged.proved, judged.cause,
+                                result.has_arrived);
     }
     const bool is_kept = MayKeep();
     FinishAnswer(*result.answer, id_, is_head_, is_kept);
@@ -83,11 +101,17 @@
     return parser_.is_done() && parser_.keep_alive() && !state_.is_leaving;
   }
 
-  task<bool> Refuse(verdict proved, refusal_cause cause) {
+  task<bool> Refuse(verdict proved, refusal_cause cause,
+                    bool has_arrived = false) {
     const bool is_kept = MayKeep();
-    const refusal_answer refusal{
-        StatusOf(cause),         proved,  NameOf(cause), id_,
-        std::chrono::seconds{0}, is_kept, is_head_};
+    refusal_answer refusal;
+    refusal.status = StatusOf(cause);
+    refusal.proved = proved;
+    refusal.reason = NameOf(cause);
+    refusal.request_id = id_;
+    refusal.is_kept = is_kept;
+    refusal.is_head = is_head_;
+    refusal.has_arrived = has_arrived;
     const bool is_written = co_await WriteRefusal(asker_, refusal);
     if (is_written && !is_kept) {
       co_await CloseGently(asker_);
@@ -112,7 +136,7 @@
   http_connection asker{std::move(socket)};
   bool is_kept = true;
   while (is_kept) {
-    const bool has_request = co_await AwaitRequest(asker);
+    const bool has_request = co_await AwaitRequest(asker, kIdleHopTimeout);
     if (!has_request) {
       break;
     }
--- a/Libraries/LibTraffic/http_message.cc
+++ b/Libraries/LibTraffic/http_message.cc
@@ -49,7 +49,17 @@
         continue;
       }
     }
-    if (co_await ReadMore(connection)) {
+    const error_code failure = co_await ReadMore(connection);
+    // A body without a length ends with its connection, unless that is reset.
+    if (failure == boost::asio::error::eof && parser.need_eof()) {
+      error_code malformed;
+      parser.put_eof(malformed);
+      if (malformed) {
+        co_return std::pair{body_status::kInvalid, from};
+      }
+      break;
+    }
+    if (failure) {
       co_return std::pair{body_status::kLost, from};
     }
   }
@@ -73,7 +83,8 @@
 template <bool is_request>
 task<error_code> ReadHeader(
     http_connection& connection,
-    http::parser<is_request, http::buffer_body>& parser) {
+    http::parser<is_request, http::buffer_body>& parser,
+    std::size_t most_bytes) {
   while (!parser.is_header_done()) {
     if (connection.buffer.size() > 0) {
       const error_code malformed = Parse(connection, parser);
@@ -84,7 +95,7 @@
         break;
       }
     }
-    if (connection.buffer.size() > kMaximumHeaderBytes) {
+    if (connection.buffer.size() > most_bytes) {
       co_return make_error_code(http::error::header_limit);
     }
     const error_code failure = co_await ReadMore(connection);
@@ -134,9 +145,10 @@
 }
 
 template task<error_code> ReadHeader<true>(http_connection&,
-                                           http_request_parser&);
+                                           http_request_parser&, std::size_t);
 template task<error_code> ReadHeader<false>(http_connection&,
-                                            http_response_parser&);
+                                            http_response_parser&,
+                                            std::size_t);
 template task<body_status> ReadBodyStart<true>(http_connection&,
                                                http_request_parser&,
                                                std::string&);
--- a/Libraries/LibTraffic/http_types.h
+++ b/Libraries/LibTraffic/http_types.h
@@ -41,8 +41,6 @@
 inline constexpr std::uint32_t kMaximumHeaderBytes = 16 * 1024;
 /// The longest request target.
 inline constexpr std::size_t kMaximumTargetBytes = 8192;
-/// The longest body of a request.
-inline constexpr std::uint64_t kMaximumBodyBytes = 64ULL * 1024 * 1024;
 /// Bodies up to this length are held whole: a request so that it can be tried
 /// again, an answer so that a truncated one is noticed before the caller sees
 /// any of it. Longer ones are streamed.
@@ -50,10 +48,8 @@
 /// The length of one streamed piece.
 inline constexpr std::size_t kStreamedPieceBytes = 32768;
 
-/// How long a kept connection may wait for its next request.
-inline constexpr std::chrono::seconds kIdleConnectionTimeout{75};
-/// How long a header section may take from its first byte.
-inline constexpr std::chrono::seconds kHeaderTimeout{5};
+/// How long a kept connection of another node may wait for its next request.
+inline constexpr std::chrono::seconds kIdleHopTimeout{75};
 /// How long a peer may take for one piece of a body.
 inline constexpr std::chrono::seconds kBodyPieceTimeout{5};
 /// How long a new connection may take.
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -3,7 +3,7 @@
 #include <string>
 
 #include "LibTraffic/header_fields.h"
-#include "LibTraffic/retry.h"
+#include "LibLoad/retry.h"
 
 namespace wagtailmount::detail {
 
@@ -16,7 +16,10 @@
 constexpr std::chrono::milliseconds kMaximumIdleForNonIdempotent{1'000};
 
 attempt_result Refused(refusal_cause cause) {
-  return {attempt_outcome::kRefusedNotRun, cause, std::nullopt};
+  attempt_result refused;
+  refused.outcome = attempt_outcome::kRefusedNotRun;
+  refused.cause = cause;
+  return refused;
 }
 
 std::string MillisecondsLeft(time_point deadline, time_point now) {
@@ -25,27 +28,41 @@
   return std::to_string(std::max<std::int64_t>(1, left.count()));
 }
 
-void PrepareForBackendServer(http_request& message, time_point deadline,
-                             time_point now) {
+void PrepareForBackendServer(http_request& message,
+                             std::string_view deadline_field,
+                             time_point deadline, time_point now) {
   for (const std::string_view name :
        {kHopServiceField, kHopVmField, kHopDeadlineField, kHopPriorityField,
         kHopAttemptField}) {
     message.erase(ToBoost(name));
   }
-  SetField(message, kBackendDeadlineField, MillisecondsLeft(deadline, now));
+  SetField(message, deadline_field, MillisecondsLeft(deadline, now));
 }
 
 // Turns a backend server's refusal into the typed one.
-void RecognizeRefusal(attempt_result& result) {
-  const bool is_refusal =
-      result.answer &&
-      result.answer->message.result() == http::status::service_unavailable &&
-      FieldOf(result.answer->message, kNotRunField) == "true";
+void RecognizeRefusal(attempt_result& result, std::string_view not_run) {
+  if (!result.answer) {
+    return;
+  }
+  const std::string_view told = FieldOf(result.answer->message, not_run);
+  const bool is_refusal = !told.empty() && told != "false" &&
+                          !IsSuccess(result.answer->message);
   if (is_refusal) {
     result = Refused(refusal_cause::kShed);
   }
 }
 
+// A success that does not show its origin is not the backend server's answer.
+void CheckOrigin(attempt_result& result, std::string_view proof) {
+  const bool is_foreign = result.answer && !proof.empty() &&
+                          IsSuccess(result.answer->message) &&
+                          FieldOf(result.answer->message, proof).empty();
+  if (is_foreign) {
+    result = {};
+    result.outcome = attempt_outcome::kAnswerMalformed;
+  }
+}
+
 duration MaximumIdle(const http_request& message) {
   const bool is_idempotent =
       IsIdempotent(idempotency::kByMethod, ToStandard(message.method_string()));
@@ -94,8 +111,9 @@
   std::unique_ptr<http_connection> connection =
       co_await ConnectionToBackendServer(worker, asked);
   if (connection == nullptr) {
-    co_return attempt_result{attempt_outcome::kConnectFailed,
-                             refusal_cause::kUnreachable, std::nullopt};
+    attempt_result unreachable;
+    unreachable.cause = refusal_cause::kUnreachable;
+    co_return unreachable;
   }
   // This process may have been paused since it read the request: what counts
   // is the time now, and whether the asker still waits. An asker that has
@@ -109,14 +127,20 @@
                               : refusal_cause::kAbandoned);
   }
   ++state.counters.owner_admitted;
-  PrepareForBackendServer(asked.request.message, asked.deadline, now);
+  const request_fields& fields = state.settings.fields;
+  PrepareForBackendServer(asked.request.message, fields.backend_deadline,
+                          asked.deadline, now);
   attempt_result result =
       co_await Exchange(connection, asked.request, asked.deadline, state.clock,
                         id_rule::kIfGiven, asked.watch);
   if (connection != nullptr) {
     KeepConnection(worker, std::move(connection));
   }
-  RecognizeRefusal(result);
+  const bool has_arrived =
+      result.outcome != attempt_outcome::kClosedBeforeFirstByte;
+  RecognizeRefusal(result, fields.not_run);
+  CheckOrigin(result, fields.proof_of_origin);
+  result.has_arrived = has_arrived;
   if (result.answer) {
     RemoveConnectionAndOwnFields(result.answer->message);
     if (result.answer->rest != nullptr) {
--- /dev/null
+++ b/Libraries/LibTraffic/request_fields.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <string_view>
+
+namespace wagtailmount {
+
+/// The header fields by which callers and backend servers speak of a request.
+/// All names must outlive the traffic server. An empty name: not spoken of.
+struct request_fields {
+  /// From callers: the milliseconds that they will wait.
+  std::string_view caller_deadline = "Wagtailmount-Deadline-Ms";
+  /// To backend servers: the milliseconds that are left.
+  std::string_view backend_deadline = "X-Deadline-Ms";
+  /// In a backend server's answer: it has not run the request.
+  std::string_view not_run = "X-Not-Run";
+  /// To backend servers: the id of the start that is meant. Another one refuses
+  /// the request.
+  std::string_view expected_backend_server;
+  /// To backend servers: the service of the VM where the request began.
+  std::string_view caller_service;
+  /// In a backend server's answer: shows that it is the backend server's own.
+  /// A success without it is none.
+  std::string_view proof_of_origin;
+};
+
+}  // namespace wagtailmount
--- a/Libraries/LibTraffic/request_reading.cc
+++ b/Libraries/LibTraffic/request_reading.cc
@@ -20,17 +20,17 @@
 
 }  // namespace
 
-void SetUp(http_request_parser& parser) {
-  parser.header_limit(kMaximumHeaderBytes);
-  parser.body_limit(kMaximumBodyBytes);
+void SetUp(http_request_parser& parser, const request_limits& limits) {
+  parser.header_limit(limits.header_bytes);
+  parser.body_limit(limits.body_bytes);
 }
 
-task<bool> AwaitRequest(http_connection& connection) {
+task<bool> AwaitRequest(http_connection& connection, duration idle_timeout) {
   if (connection.buffer.size() > 0) {
     co_return true;
   }
   error_code failure;
-  connection.stream.expires_after(kIdleConnectionTimeout);
+  connection.stream.expires_after(idle_timeout);
   const std::size_t count = co_await connection.stream.async_read_some(
       connection.buffer.prepare(kFirstReadBytes), ReportTo(failure));
   connection.buffer.commit(count);
@@ -38,9 +38,11 @@
 }
 
 task<std::optional<reading_fault>> ReadRequestHeader(
-    http_connection& connection, http_request_parser& parser) {
-  connection.stream.expires_after(kHeaderTimeout);
-  const error_code failure = co_await ReadHeader(connection, parser);
+    http_connection& connection, http_request_parser& parser,
+    const request_limits& limits) {
+  connection.stream.expires_after(limits.header_timeout);
+  const error_code failure =
+      co_await ReadHeader(connection, parser, limits.header_bytes);
   std::optional<reading_fault> found;
   if (failure) {
     const std::optional<form_fault> fault = FaultOf(failure);
--- a/Libraries/LibTraffic/request_reading.h
+++ b/Libraries/LibTraffic/request_reading.h
@@ -1,16 +1,17 @@
 #pragma once
 
+#include "LibConfig/configuration.h"
 #include "LibTraffic/http_message.h"
 #include "LibTraffic/request_check.h"
 
 namespace wagtailmount::detail {
 
 /// Sets the limits on what the parser accepts.
-void SetUp(http_request_parser& parser);
+void SetUp(http_request_parser& parser, const request_limits& limits);
 
 /// Waits for the first byte of the next request; false when the connection
-/// ends before one.
-task<bool> AwaitRequest(http_connection& connection);
+/// ends before one, or none comes within `idle_timeout`.
+task<bool> AwaitRequest(http_connection& connection, duration idle_timeout);
 
 /// What is wrong with a request, and whether that can be answered at all.
 struct reading_fault {
@@ -20,7 +21,8 @@
 
 /// Reads and checks the header section of a request.
 task<std::optional<reading_fault>> ReadRequestHeader(
-    http_connection& connection, http_request_parser& parser);
+    http_connection& connection, http_request_parser& parser,
+    const request_limits& limits);
 
 /// Whether the sender waits for "100 Continue" before it sends a body.
 bool IsContinueDue(http_request_parser& parser);
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -104,11 +104,17 @@
   }
 
   void Publish(std::shared_ptr<const routing_snapshot> snapshot) override {
-    const auto own =
-        snapshot->Configuration().FindService(state_.settings.service);
-    if (own != nullptr) {
+    if (const auto& own = snapshot->Own()) {
       state_.gate.SetLimits(own->limits);
+    } else if (const auto declared = snapshot->Configuration().FindService(
+                   state_.settings.service)) {
+      state_.gate.SetLimits(declared->limits);
     }
+    const auto idle = snapshot->Configuration().Limits().idle_timeout;
+    state_.idle_timeout = has_snapshot_ ? std::max(state_.idle_timeout.load(),
+                                                   idle)
+                                        : idle;
+    has_snapshot_ = true;
     state_.snapshot.store(std::move(snapshot));
   }
 
@@ -192,6 +198,7 @@
   std::optional<tcp::acceptor> caller_acceptor_;
   std::optional<tcp::acceptor> hop_acceptor_;
   std::size_t next_worker_ = 0;
+  bool has_snapshot_ = false;  ///< Of the control thread.
 };
 
 }  // namespace
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -8,11 +8,12 @@
 
 #include "LibBase/clock.h"
 #include "LibBase/error.h"
-#include "LibMembership/vm_record.h"
+#include "LibBase/endpoint.h"
 #include "LibRouting/routing_snapshot.h"
 #include "LibRouting/upstream_choice.h"
 #include "LibRouting/verdict.h"
-#include "LibTraffic/attempt_outcome.h"
+#include "LibLoad/attempt_outcome.h"
+#include "LibTraffic/request_fields.h"
 
 namespace wagtailmount {
 
@@ -27,6 +28,7 @@
   endpoint backend_server;
   std::uint32_t threads = 1;
   std::uint64_t seed = 1;
+  request_fields fields;
 };
 
 /// Counts since the start of the process; they only rise.
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -10,7 +10,7 @@
 #include "LibTraffic/backend_gate.h"
 #include "LibTraffic/connection_pool.h"
 #include "LibTraffic/decision_log.h"
-#include "LibTraffic/retry_budget.h"
+#include "LibLoad/retry_budget.h"
 #include "LibTraffic/service_statistics.h"
 #include "LibTraffic/traffic_server.h"
 
@@ -56,10 +56,20 @@
   const traffic_settings settings;
   const runtime_clock& clock;
   std::atomic<std::shared_ptr<const routing_snapshot>> snapshot;
+  /// The longest that any configuration so far allowed: a caller may go by an
+  /// earlier one.
+  std::atomic<std::chrono::milliseconds> idle_timeout{
+      request_limits{}.idle_timeout};
   /// No new work starts at this VM's backend server; callers are told to go.
   std::atomic<bool> is_leaving{false};
   /// New requests of callers are refused too; implies `is_leaving`.
   std::atomic<bool> is_draining{false};
+  /// The service of the backend server on this VM.
+  static const std::string& OwnService(const traffic_settings& settings,
+                                       const routing_snapshot& snapshot) {
+    return snapshot.Own() ? snapshot.Own()->service : settings.service;
+  }
+
   shared_counters counters;
   service_statistics statistics;
   decision_log decisions;
--- a/Programs/wagtailmountd/main.cc
+++ b/Programs/wagtailmountd/main.cc
@@ -9,8 +9,10 @@
 #include <string>
 
 #include "LibBase/clock.h"
+#include "LibNode/catalog_node.h"
 #include "LibNode/node.h"
 #include "LibNode/settings.h"
+#include "platform/store_platform.h"
 
 namespace {
 
@@ -91,6 +93,19 @@
   return wagtailmount::Fail(wagtailmount::error_kind::kInvalidInput, reasons);
 }
 
+int RunCatalogNode(const wagtailmount::node_settings& settings,
+                   const std::string& settings_file) {
+  const wagtailmount::system_runtime_clock clock;
+  auto created = wagtailmount::catalog_node::Create(
+      settings, wagtailmount::platform::StorePlatform(), clock,
+      [settings_file] { return LoadSettings(settings_file); });
+  if (!created) {
+    std::cerr << "wagtailmountd: " << created.error().message << "\n";
+    return kExitFailed;
+  }
+  return (*created)->Run() ? kExitClean : kExitFailed;
+}
+
 int RunNode(const wagtailmount::node_settings& settings) {
   const wagtailmount::system_runtime_clock clock;
   auto created = wagtailmount::node::Create(settings, clock);
@@ -130,5 +145,8 @@
     std::cout << parsed->settings_file << ": accepted\n";
     return kExitClean;
   }
+  if (settings->interface == wagtailmount::platform_interface::kCatalog) {
+    return RunCatalogNode(*settings, parsed->settings_file);
+  }
   return RunNode(*settings);
 }
--- a/Tests/LibTraffic/test_admission.cc
+++ b/Tests/LibTraffic/test_admission.cc
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "LibTraffic/admission.h"
+#include "LibLoad/admission.h"
 
 using std::chrono::milliseconds;
 using namespace wagtailmount;  // NOLINT(google-build-using-namespace)
--- a/Tests/LibTraffic/test_retry.cc
+++ b/Tests/LibTraffic/test_retry.cc
@@ -1,7 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
-#include "LibTraffic/retry.h"
-#include "LibTraffic/retry_budget.h"
+#include "LibLoad/retry.h"
+#include "LibLoad/retry_budget.h"
 
 using namespace wagtailmount;  // NOLINT(google-build-using-namespace)
 
