LibLoad: Wait only as long as an answer can be of full worth, and place by the load that owners tell

Ruled out: the retry budget (repeats were under 3 in 100 of the arrivals). Change: admission by rank and objective, refusal at once where the wait would outlast it, load told in every answer of an owner, 503 wherever a request has not run; the settings name the own service (an older entry at a reused address did).

--- a/Libraries/LibCatalog/upstream_directory.cc
+++ b/Libraries/LibCatalog/upstream_directory.cc
@@ -20,7 +20,7 @@
 
 void upstream_directory::Update(
     time_point now, std::span<const registered_upstream> registered,
-    bool is_doubtful) {
+    time_point doubt_until) {
   std::map<std::string, entry, std::less<>> updated;
   for (const registered_upstream& each : registered) {
     entry fresh{each, {}, {}};
@@ -36,20 +36,15 @@
     if (updated.contains(id)) {
       continue;
     }
-    const bool is_kept_already = held.vanishes_at != time_point{};
-    const bool may_live = is_kept_already ? now < held.vanishes_at
-                                          : is_doubtful &&
-                                                !held.registered.record
-                                                     .is_leaving;
-    if (may_live) {
-      held.vanishes_at =
-          is_kept_already ? held.vanishes_at : now + settings_.doubt;
+    if (held.vanishes_at == time_point{}) {
+      held.vanishes_at = doubt_until;
+    }
+    if (now < held.vanishes_at && !held.registered.record.is_leaving) {
       updated.emplace(id, std::move(held));
     }
   }
   entries_ = std::move(updated);
   if (const entry* const own = OwnEntry()) {
-    last_own_service_ = own->registered.record.service;
     last_own_slots_ = own->registered.record.slots;
   }
 }
@@ -102,11 +97,15 @@
   return all;
 }
 
+// An entry of another service at this address is left from an earlier backend
+// server.
 const upstream_directory::entry* upstream_directory::OwnEntry() const {
   const entry* own = nullptr;
   for (const auto& [id, held] : entries_) {
+    const upstream_record& record = held.registered.record;
     const bool is_own =
-        held.registered.record.backend_server == settings_.own_backend_server;
+        record.backend_server == settings_.own_backend_server &&
+        record.service == settings_.own_service;
     if (is_own &&
         (own == nullptr || own->registered.created < held.registered.created)) {
       own = &held;
@@ -115,14 +114,10 @@
   return own;
 }
 
-const std::string& upstream_directory::KnownOwnService() const {
-  return last_own_service_.empty() ? settings_.own_service : last_own_service_;
-}
-
 own_backend_server upstream_directory::Own(
     const upstream_limits& declared) const {
   own_backend_server own;
-  own.service = KnownOwnService();
+  own.service = settings_.own_service;
   own.limits = declared;
   if (last_own_slots_ > 0) {
     own.limits.slots = last_own_slots_;
--- a/Libraries/LibCatalog/upstream_directory.h
+++ b/Libraries/LibCatalog/upstream_directory.h
@@ -32,21 +32,17 @@
  public:
   struct settings {
     endpoint own_backend_server;
-    std::string own_service;  ///< Until the own registration tells.
+    std::string own_service;
     std::string region;
     std::uint16_t hop_port = 0;  ///< The same on all VMs.
-    /// How long an entry stays that vanished while the platform was away: live
-    /// backend servers have registered again by then. Source: two seconds by
-    /// the platform's word, and a margin.
-    std::chrono::milliseconds doubt{2'500};
   };
 
   explicit upstream_directory(settings chosen) : settings_(std::move(chosen)) {}
 
-  /// Replaces what is registered. `is_doubtful`: entries may have vanished
-  /// although their backend servers live.
+  /// Replaces what is registered. Entries that have vanished stay until
+  /// `doubt_until`: the platform was away, and their backend servers may live.
   void Update(time_point now, std::span<const registered_upstream> registered,
-              bool is_doubtful);
+              time_point doubt_until);
 
   /// Drops doubtful entries whose time is over; true when there were any.
   bool Expire(time_point now);
@@ -56,7 +52,6 @@
 
   /// The backend server on this VM; `limits` holds what its service declares.
   own_backend_server Own(const upstream_limits& declared) const;
-  const std::string& OwnService() const { return KnownOwnService(); }
 
   /// Every VM that is registered and not leaving, once, in name order.
   std::vector<neighbour> Neighbours() const;
@@ -68,13 +63,11 @@
     time_point vanishes_at{};     ///< Zero while it is registered.
   };
 
-  const std::string& KnownOwnService() const;
   const entry* OwnEntry() const;
   bool IsSuperseded(const entry& candidate) const;
 
   settings settings_;
   std::map<std::string, entry, std::less<>> entries_;  ///< By id.
-  std::string last_own_service_;
   std::uint32_t last_own_slots_ = 0;
 };
 
--- a/Libraries/LibLoad/admission.cc
+++ b/Libraries/LibLoad/admission.cc
@@ -6,8 +6,17 @@
 
 namespace {
 
-// The weight of the newest request in the mean duration, as a divisor.
+/// The weight of the newest request in a mean duration, as a divisor.
 constexpr int kDurationWeight = 16;
+/// A request that can't be on time any more may wait for that part of the time
+/// it has left. Source: an eighth of the objective is what callers don't feel,
+/// and those that come back have about as long as their objective left.
+constexpr int kLateWaitDivisor = 6;
+
+void MixIn(duration& mean, duration taken) {
+  mean = mean == duration::zero() ? taken
+                                  : mean + (taken - mean) / kDurationWeight;
+}
 
 }  // namespace
 
@@ -16,51 +25,94 @@
   return std::min(limits_.slots, limits_.connections);
 }
 
-duration admission::ExpectedWait(request_priority priority) const {
-  const std::size_t ahead = priority == request_priority::kInteractive
-                                ? interactive_.size()
-                                : Queued();
-  const auto slots =
-      static_cast<std::int64_t>(std::max<std::size_t>(1, Slots()));
-  return mean_duration_ * static_cast<std::int64_t>(ahead + 1) / slots;
+std::size_t admission::Queued() const {
+  std::size_t count = 0;
+  for (const auto& [rank, queue] : waiting_) {
+    count += queue.size();
+  }
+  return count;
+}
+
+duration admission::DurationOf(request_priority rank) const {
+  const auto found = duration_of_rank_.find(rank);
+  return found == duration_of_rank_.end() ? mean_duration_ : found->second;
 }
 
-admission_reply admission::Arrive(time_point now, time_point deadline,
-                                  request_priority priority) {
+duration admission::ExpectedWait(request_priority rank) const {
+  if (running_.size() < Slots() && Queued() == 0) {
+    return duration::zero();
+  }
+  duration work = mean_duration_;
+  for (const auto& [other, queue] : waiting_) {
+    if (other <= rank) {
+      work += DurationOf(other) * static_cast<std::int64_t>(queue.size());
+    }
+  }
+  return work / static_cast<std::int64_t>(std::max<std::size_t>(1, Slots()));
+}
+
+duration admission::LongestWait(time_point now,
+                                const arriving_request& arriving) const {
+  const duration until_deadline = arriving.deadline - now;
+  if (arriving.objective == time_point{}) {
+    return until_deadline;
+  }
+  const duration on_time =
+      arriving.objective - now - DurationOf(arriving.rank);
+  return std::max(on_time, until_deadline / kLateWaitDivisor);
+}
+
+admission_reply admission::Arrive(time_point now,
+                                  const arriving_request& arriving) {
   admission_reply reply;
-  DropLate(now, interactive_, reply.effects);
-  DropLate(now, background_, reply.effects);
-  if (deadline <= now) {
+  DropLate(now, reply.effects);
+  if (arriving.deadline <= now) {
     reply.refused = refusal_cause::kTooLate;
     return reply;
   }
   if (running_.size() < Slots() && Queued() == 0) {
     reply.decided = admission_reply::kind::kStart;
     reply.id = ++last_id_;
-    running_.emplace(reply.id, now);
+    running_.emplace(reply.id, running_request{now, arriving.rank});
     return reply;
   }
-  // A request that would wait past its deadline is refused at once, while its
-  // caller still has time to go elsewhere.
-  if (now + ExpectedWait(priority) >= deadline) {
-    reply.refused = refusal_cause::kTooLate;
+  // A request that would wait for too long is refused at once, while its caller
+  // still has time to go elsewhere.
+  const duration longest = LongestWait(now, arriving);
+  if (ExpectedWait(arriving.rank) >= longest) {
+    reply.refused = arriving.objective == time_point{}
+                        ? refusal_cause::kTooLate
+                        : refusal_cause::kOverloaded;
     return reply;
   }
-  const bool is_interactive = priority == request_priority::kInteractive;
-  if (Queued() >= limits_.queue) {
-    if (!is_interactive || background_.empty()) {
-      reply.refused = refusal_cause::kQueueFull;
-      return reply;
-    }
-    reply.effects.push_back({background_.back().id, refusal_cause::kShed});
-    background_.pop_back();
+  if (Queued() >= limits_.queue && !MakeRoom(arriving.rank, reply.effects)) {
+    reply.refused = refusal_cause::kQueueFull;
+    return reply;
   }
   reply.decided = admission_reply::kind::kQueued;
   reply.id = ++last_id_;
-  (is_interactive ? interactive_ : background_).push_back({reply.id, deadline});
+  reply.start_by = now + longest;
+  waiting_[arriving.rank].push_back({reply.id, arriving, reply.start_by});
   return reply;
 }
 
+// The newest request of the last rank gives way to one of an earlier rank.
+bool admission::MakeRoom(request_priority rank,
+                         std::vector<admission_effect>& effects) {
+  for (auto last = waiting_.rbegin(); last != waiting_.rend(); ++last) {
+    if (last->second.empty()) {
+      continue;
+    }
+    if (last->first <= rank) {
+      return false;
+    }
+    effects.push_back({last->second.back().id, refusal_cause::kShed});
+    last->second.pop_back();
+    return true;
+  }
+  return false;
+}
+
 std::vector<admission_effect> admission::Finish(time_point now,
                                                 admission_id id) {
   std::vector<admission_effect> effects;
@@ -68,52 +120,64 @@
   if (found == running_.end()) {
     return effects;
   }
-  LearnDuration(now - found->second);
+  LearnDuration(found->second.rank, now - found->second.since);
   running_.erase(found);
-  while (running_.size() < Slots() && (StartNext(now, interactive_, effects) ||
-                                       StartNext(now, background_, effects))) {
+  DropLate(now, effects);
+  while (running_.size() < Slots() && StartNext(now, effects)) {
   }
   return effects;
 }
 
 bool admission::Withdraw(admission_id id) {
-  const auto is_it = [id](const waiting_request& waiting) {
-    return waiting.id == id;
-  };
-  return std::erase_if(interactive_, is_it) +
-             std::erase_if(background_, is_it) >
-         0;
+  std::size_t count = 0;
+  for (auto& [rank, queue] : waiting_) {
+    count += std::erase_if(
+        queue, [id](const waiting_request& each) { return each.id == id; });
+  }
+  return count > 0;
 }
 
-void admission::DropLate(time_point now, std::deque<waiting_request>& queue,
+void admission::DropLate(time_point now,
                          std::vector<admission_effect>& effects) {
-  std::erase_if(queue, [&](const waiting_request& waiting) {
-    const bool is_late = waiting.deadline <= now;
-    if (is_late) {
-      effects.push_back({waiting.id, refusal_cause::kTooLate});
-    }
-    return is_late;
-  });
+  for (auto& [rank, queue] : waiting_) {
+    std::erase_if(queue, [&](const waiting_request& each) {
+      const bool is_late = each.start_by <= now;
+      if (is_late) {
+        effects.push_back({each.id, each.request.deadline <= now
+                                        ? refusal_cause::kTooLate
+                                        : refusal_cause::kOverloaded});
+      }
+      return is_late;
+    });
+  }
 }
 
-bool admission::StartNext(time_point now, std::deque<waiting_request>& queue,
+bool admission::StartNext(time_point now,
                           std::vector<admission_effect>& effects) {
-  DropLate(now, queue, effects);
-  if (queue.empty()) {
-    return false;
+  for (auto& [rank, queue] : waiting_) {
+    if (queue.empty()) {
+      continue;
+    }
+    const admission_id id = queue.front().id;
+    queue.pop_front();
+    running_.emplace(id, running_request{now, rank});
+    effects.push_back({id, refusal_cause::kNone});
+    return true;
   }
-  const admission_id id = queue.front().id;
-  queue.pop_front();
-  running_.emplace(id, now);
-  effects.push_back({id, refusal_cause::kNone});
-  return true;
+  return false;
+}
+
+void admission::LearnDuration(request_priority rank, duration taken) {
+  MixIn(mean_duration_, taken);
+  MixIn(duration_of_rank_[rank], taken);
 }
 
-void admission::LearnDuration(duration taken) {
-  const bool is_first = mean_duration_ == duration::zero();
-  mean_duration_ =
-      is_first ? taken
-               : mean_duration_ + (taken - mean_duration_) / kDurationWeight;
+owner_load admission::Load() const {
+  // Requests of the last rank wait longest, and are the most.
+  const auto last =
+      waiting_.empty() ? request_priority::kInteractive : waiting_.rbegin()->first;
+  return {ExpectedWait(last), mean_duration_,
+          static_cast<std::uint32_t>(Slots())};
 }
 
 }  // namespace wagtailmount
--- a/Libraries/LibLoad/admission.h
+++ b/Libraries/LibLoad/admission.h
@@ -15,6 +15,15 @@
 /// Names one request at its owner; never used twice.
 using admission_id = std::uint64_t;
 
+/// A request as it arrives at its owner.
+struct arriving_request {
+  time_point deadline;
+  request_priority rank = request_priority::kInteractive;
+  /// When its answer loses its full worth; zero when that is not told. Then it
+  /// waits until its deadline.
+  time_point objective{};
+};
+
 /// What becomes of a request that arrived earlier and was queued.
 struct admission_effect {
   admission_id id = 0;
@@ -30,19 +39,38 @@
   kind decided = kind::kRefused;
   admission_id id = 0;                           ///< Unless refused.
   refusal_cause refused = refusal_cause::kNone;  ///< If refused.
+  time_point start_by{};                         ///< If queued.
   std::vector<admission_effect> effects;         ///< On other requests.
 };
 
+/// What an owner tells of its load, so that others can place their requests.
+struct owner_load {
+  duration wait{};     ///< What a request of the last rank would wait now.
+  duration service{};  ///< How long a request takes once started.
+  std::uint32_t slots = 0;
+};
+
 /// Decides, at the owner of one backend server, which requests start, wait or
-/// are refused: exact slots, a bounded queue that holds no request past its
-/// deadline, and interactive requests before background ones.
+/// are refused: exact slots, lower ranks first, first come first served within
+/// a rank, and a wait only as long as the answer can still be of full worth.
+///
+/// Answers these load patterns:
+/// - a burst above capacity: the queue stays so short that what is accepted is
+///   on time, and the rest is refused at once, to be tried elsewhere;
+/// - an upstream that turns slow: its durations are learned, and it accepts
+///   less;
+/// - requests that come back after a refusal, past their objective: they may
+///   wait for a part of the time they have left.
 class admission {
  public:
   /// The bounds hold from now on; running requests above them go on.
   void SetLimits(const upstream_limits& limits) { limits_ = limits; }
 
+  admission_reply Arrive(time_point now, const arriving_request& arriving);
   admission_reply Arrive(time_point now, time_point deadline,
-                         request_priority priority);
+                         request_priority rank) {
+    return Arrive(now, arriving_request{deadline, rank, {}});
+  }
 
   /// A started request has ended.
   std::vector<admission_effect> Finish(time_point now, admission_id id);
@@ -51,31 +79,38 @@
   /// started or refused before.
   bool Withdraw(admission_id id);
 
+  owner_load Load() const;
+
   std::size_t Running() const { return running_.size(); }
-  std::size_t Queued() const {
-    return interactive_.size() + background_.size();
-  }
+  std::size_t Queued() const;
 
  private:
   struct waiting_request {
     admission_id id;
-    time_point deadline;
+    arriving_request request;
+    time_point start_by;
+  };
+
+  struct running_request {
+    time_point since;
+    request_priority rank;
   };
 
   std::size_t Slots() const;
-  void DropLate(time_point now, std::deque<waiting_request>& queue,
-                std::vector<admission_effect>& effects);
-  bool StartNext(time_point now, std::deque<waiting_request>& queue,
-                 std::vector<admission_effect>& effects);
-  duration ExpectedWait(request_priority priority) const;
-  void LearnDuration(duration taken);
+  void DropLate(time_point now, std::vector<admission_effect>& effects);
+  bool StartNext(time_point now, std::vector<admission_effect>& effects);
+  bool MakeRoom(request_priority rank, std::vector<admission_effect>& effects);
+  duration ExpectedWait(request_priority rank) const;
+  duration LongestWait(time_point now, const arriving_request& arriving) const;
+  duration DurationOf(request_priority rank) const;
+  void LearnDuration(request_priority rank, duration taken);
 
   upstream_limits limits_;
   admission_id last_id_ = 0;
-  std::map<admission_id, time_point> running_;  ///< Started when.
-  std::deque<waiting_request> interactive_;
-  std::deque<waiting_request> background_;
+  std::map<admission_id, running_request> running_;
+  std::map<request_priority, std::deque<waiting_request>> waiting_;
   duration mean_duration_{};
+  std::map<request_priority, duration> duration_of_rank_;
 };
 
 }  // namespace wagtailmount
--- a/Libraries/LibLoad/attempt_outcome.cc
+++ b/Libraries/LibLoad/attempt_outcome.cc
@@ -20,7 +20,7 @@
   bool makes_sense_to_come_back;
 };
 
-constexpr std::array<cause_entry, 18> kCauses{{
+constexpr std::array<cause_entry, 19> kCauses{{
     {refusal_cause::kNone, "none", kUnavailable, false},
     {refusal_cause::kNoConfiguration, "no-configuration", kUnavailable, true},
     {refusal_cause::kDraining, "draining", kUnavailable, true},
@@ -38,6 +38,7 @@
     {refusal_cause::kMalformedAnswer, "malformed-answer", kBadGateway, false},
     {refusal_cause::kMismatchedAnswer, "mismatched-answer", kBadGateway, false},
     {refusal_cause::kBodyLost, "body-lost", kBadRequest, false},
+    {refusal_cause::kOverloaded, "overloaded", kUnavailable, true},
     {refusal_cause::kUnknown, "unknown", kUnavailable, false},
 }};
 
@@ -86,7 +87,11 @@
   return found == kCauses.end() ? refusal_cause::kUnknown : found->cause;
 }
 
-unsigned StatusOf(refusal_cause cause) { return EntryOf(cause).status; }
+unsigned StatusOf(refusal_cause cause, verdict proved) {
+  const unsigned status = EntryOf(cause).status;
+  const bool is_doubtful = status == kBadGateway || status == kGatewayTimeout;
+  return is_doubtful && proved == verdict::kNotRun ? kUnavailable : status;
+}
 
 bool MakesSenseToComeBack(refusal_cause cause) {
   return EntryOf(cause).makes_sense_to_come_back;
--- a/Libraries/LibLoad/attempt_outcome.h
+++ b/Libraries/LibLoad/attempt_outcome.h
@@ -3,6 +3,8 @@
 #include <cstdint>
 #include <string_view>
 
+#include "LibRouting/verdict.h"
+
 namespace wagtailmount {
 
 /// How one attempt to have a request run has ended.
@@ -44,6 +46,7 @@
   kMalformedAnswer,   ///< The answer is not one that can be passed on.
   kMismatchedAnswer,  ///< The answer to another request.
   kBodyLost,          ///< The request's body broke off.
+  kOverloaded,        ///< Would wait for longer than it is worth.
   kUnknown,           ///< The owner gave a word unknown here.
 };
 
@@ -53,8 +56,9 @@
 /// The cause that `word` names; kUnknown for any other.
 refusal_cause CauseOf(std::string_view word);
 
-/// The HTTP status that a refusal for `cause` carries.
-unsigned StatusOf(refusal_cause cause);
+/// The HTTP status that a refusal for `cause` carries. One that a caller may
+/// take for "may have run" is used only where that is so.
+unsigned StatusOf(refusal_cause cause, verdict proved);
 
 /// Whether a caller may hope for better by coming back.
 bool MakesSenseToComeBack(refusal_cause cause);
--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -20,6 +20,8 @@
 /// Beyond that age of the platform's last word, entries that vanish may have
 /// lapsed while the platform was away. Source: catalog_feed's staleness.
 constexpr milliseconds kFreshAge{1'400};
+/// How long after that such entries stay: live backend servers have registered
+/// again by then. Source: two seconds by the platform's word, and a margin.
 constexpr milliseconds kDoubt{2'500};
 /// How long a start waits for a confirmation of what a stale listing gave.
 /// Source: a link's handshake or a call, and a margin.
@@ -64,8 +66,7 @@
       started_at_(clock.Now()),
       feed_({}, seed),
       directory_(DirectorySettings(settings)),
-      links_(LinkSettings(settings), clock, *this, seed + 1),
-      unfresh_at_(clock.Now()) {}
+      links_(LinkSettings(settings), clock, *this, seed + 1) {}
 
 void catalog_control::Tick() {
   const time_point now = clock_.Now();
@@ -90,9 +91,11 @@
 void catalog_control::WatchFreshness(time_point now) {
   const auto age = feed_.Age(now);
   const bool is_fresh = age && *age < kFreshAge;
-  if (!is_fresh) {
+  // A start that knows nothing yet is no outage of the platform.
+  if (!is_fresh && was_fresh_) {
     unfresh_at_ = now;
   }
+  was_fresh_ |= is_fresh;
   if (is_fresh != is_fresh_) {
     is_fresh_ = is_fresh;
     log_.Add(log_line{is_fresh ? "catalog-fresh" : "catalog-not-fresh"}
@@ -276,14 +279,14 @@
   }
   registered_ = std::move(registered);
   const time_point now = clock_.Now();
-  const bool is_doubtful = now - unfresh_at_ < kDoubt;
-  directory_.Update(now, registered_, is_doubtful);
+  const time_point doubt_until = unfresh_at_ + kDoubt;
+  directory_.Update(now, registered_, doubt_until);
   is_snapshot_due_ = true;
   log_.Add(log_line{"upstreams-changed"}
                .Number("count", static_cast<std::int64_t>(registered_.size()))
                .Number("complete_to",
                        static_cast<std::int64_t>(catalog_.CompleteTo()))
-               .Flag("is_doubtful", is_doubtful));
+               .Flag("is_doubtful", now < doubt_until));
   ChoosePeers();
 }
 
@@ -292,7 +295,7 @@
     return;
   }
   is_snapshot_due_ = false;
-  const auto declared = in_force_->FindService(directory_.OwnService());
+  const auto declared = in_force_->FindService(settings_.service);
   publish_(std::make_shared<const routing_snapshot>(
       in_force_, directory_.Upstreams(),
       directory_.Own(declared ? declared->limits : upstream_limits{})));
@@ -374,7 +377,7 @@
   hello.sender = {.vm = settings_.vm,
                   .region = settings_.region,
                   .failure_domain = settings_.failure_domain,
-                  .service = directory_.OwnService(),
+                  .service = settings_.service,
                   .peer = settings_.advertised_peer,
                   .hop = settings_.advertised_hop,
                   .incarnation = static_cast<std::uint64_t>(started_),
--- a/Libraries/LibNode/catalog_control.h
+++ b/Libraries/LibNode/catalog_control.h
@@ -119,7 +119,8 @@
   std::map<std::string, std::uint64_t, std::less<>> peers_complete_to_;
   std::uint64_t told_complete_to_ = 0;
   time_point next_state_{};
-  time_point unfresh_at_{};  ///< When the catalog was last not known fresh.
+  time_point unfresh_at_{};  ///< When the catalog was last no longer fresh.
+  bool was_fresh_ = false;
   bool is_fresh_ = false;
   bool is_serving_ = false;
   bool is_snapshot_due_ = false;
--- a/Libraries/LibRouting/upstream_choice.cc
+++ b/Libraries/LibRouting/upstream_choice.cc
@@ -28,6 +28,15 @@
 // How much dearer the nearest upstreams must be before work leaves the failure
 // domain, or the region.
 constexpr std::array<double, 3> kDistanceFactor{1.0, 2.0, 4.0};
+// The like where owners tell their load: how much sooner an answer must be
+// expected from farther away. Source: what a caller notices, a good part of the
+// usual objectives of half a second; bytes between failure domains are dear.
+constexpr std::array<milliseconds, 3> kDistanceCost{
+    milliseconds{0}, milliseconds{150}, milliseconds{400}};
+// For so long the load that an owner told goes before own observations.
+constexpr seconds kToldTime{2};
+// In that time half of the wait that was told has been worked off.
+constexpr milliseconds kToldHalfLife{300};
 constexpr int kOwnDomain = 0;
 constexpr int kOwnRegion = 1;
 constexpr int kElsewhere = 2;
@@ -90,9 +99,21 @@
   return std::nullopt;
 }
 
+void upstream_chooser::Told(time_point now, std::string_view vm,
+                            const told_load& load) {
+  if (observations* const seen = Find(vm)) {
+    seen->told = load;
+    seen->told_at = now;
+    seen->begun_since_told = 0;
+    // What it tells of its wait says more than that it refused.
+    seen->pressed_until = time_point{};
+  }
+}
+
 void upstream_chooser::Begin(std::string_view vm) {
   if (observations* const seen = Find(vm)) {
     ++seen->outstanding;
+    ++seen->begun_since_told;
   }
 }
 
@@ -230,14 +251,23 @@
     return {&upstreams[near], choice_reason::kNear};
   }
   const std::size_t far = BestOfDrawn(now, farther_, slow_start, random);
-  const double factor =
-      kDistanceFactor[static_cast<std::size_t>(DistanceOf(upstreams[far]))];
-  if (CostOf(now, far) * factor < CostOf(now, near)) {
+  if (IsWorthTheWay(now, near, far, upstreams[far])) {
     return {&upstreams[far], choice_reason::kSpillOver};
   }
   return {&upstreams[near], choice_reason::kNear};
 }
 
+bool upstream_chooser::IsWorthTheWay(time_point now, std::size_t near,
+                                     std::size_t far,
+                                     const upstream& far_upstream) const {
+  const auto distance = static_cast<std::size_t>(DistanceOf(far_upstream));
+  if (IsTold(now, seen_[near])) {
+    return CostOf(now, far) + SecondsOf(kDistanceCost[distance]) <
+           CostOf(now, near);
+  }
+  return CostOf(now, far) * kDistanceFactor[distance] < CostOf(now, near);
+}
+
 std::size_t upstream_chooser::BestOfDrawn(
     time_point now, std::span<const std::size_t> candidates,
     duration slow_start, random_source& random) const {
@@ -274,12 +304,27 @@
 
 double upstream_chooser::CostOf(time_point now, std::size_t index) const {
   const observations& seen = seen_[index];
+  if (IsTold(now, seen)) {
+    const double kept = std::exp2(-SecondsOf(now - seen.told_at) /
+                                  SecondsOf(kToldHalfLife));
+    const double service = SecondsOf(seen.told.service);
+    const double begun = seen.begun_since_told;
+    const double wait = SecondsOf(seen.told.wait) * kept +
+                        service * begun / std::max(1U, seen.told.slots);
+    return (wait + service) *
+           (seen.pressed_until > now ? kPressedFactor : 1.0);
+  }
   const double latency =
       std::max(SecondsOf(FadedLatency(now, seen)), SecondsOf(kLatencyFloor));
   const double pressed = seen.pressed_until > now ? kPressedFactor : 1.0;
   return latency * (seen.outstanding + 1.0) * pressed;
 }
 
+bool upstream_chooser::IsTold(time_point now, const observations& seen) const {
+  return seen.told_at != time_point{} && now - seen.told_at < kToldTime &&
+         seen.told.service > duration::zero();
+}
+
 duration upstream_chooser::FadedLatency(time_point now,
                                         const observations& seen) const {
   if (seen.latency == duration::zero()) {
--- a/Libraries/LibRouting/upstream_choice.h
+++ b/Libraries/LibRouting/upstream_choice.h
@@ -36,6 +36,13 @@
   kNothing,  ///< Ended for a reason of the asker's.
 };
 
+/// What an upstream's owner told of its load.
+struct told_load {
+  duration wait{};     ///< Until a request starts.
+  duration service{};  ///< How long it takes then.
+  std::uint32_t slots = 0;
+};
+
 /// Chooses among the upstreams of one service by what this thread has itself
 /// seen of them. What they say of their own health and load is not asked.
 class upstream_chooser {
@@ -63,6 +70,10 @@
   void End(time_point now, std::string_view vm, attempt_sign sign,
            duration taken);
 
+  /// The owner of upstream `vm` told its load. That goes before what this
+  /// thread has seen by itself, for a short while.
+  void Told(time_point now, std::string_view vm, const told_load& load);
+
   bool IsEjected(time_point now, std::string_view vm) const;
   std::uint32_t OutstandingOf(std::string_view vm) const;
 
@@ -79,6 +90,9 @@
     std::uint32_t failures_in_row = 0;
     std::uint32_t ejections_in_row = 0;
     time_point ejected_until{};
+    told_load told;
+    time_point told_at{};
+    std::uint32_t begun_since_told = 0;
   };
 
   enum class standing : std::uint8_t { kGood, kEjected, kSuspect };
@@ -100,6 +114,9 @@
   std::size_t Draw(time_point now, std::span<const std::size_t> candidates,
                    duration slow_start, random_source& random) const;
   double CostOf(time_point now, std::size_t index) const;
+  bool IsTold(time_point now, const observations& seen) const;
+  bool IsWorthTheWay(time_point now, std::size_t near, std::size_t far,
+                     const upstream& far_upstream) const;
   duration FadedLatency(time_point now, const observations& seen) const;
   duration MedianLatency();
   bool MayEject(time_point now) const;
--- a/Libraries/LibTraffic/answers.cc
+++ b/Libraries/LibTraffic/answers.cc
@@ -47,6 +47,9 @@
     message.set(http::field::retry_after,
                 SecondsText(refusal.retry_after));
   }
+  if (!refusal.load.empty()) {
+    SetField(message, kLoadField, refusal.load);
+  }
   if (refusal.has_arrived) {
     SetField(message, kArrivedField, "1");
   }
--- a/Libraries/LibTraffic/answers.h
+++ b/Libraries/LibTraffic/answers.h
@@ -22,6 +22,7 @@
   std::chrono::milliseconds retry_after{0};
   bool is_kept = true;                  ///< Whether the connection stays open.
   bool is_head = false;                 ///< Answers a HEAD request.
+  std::string_view load;  ///< Of this owner; empty when not told.
   bool has_arrived = false;  ///< At a backend server; told to other nodes.
 };
 
--- a/Libraries/LibTraffic/backend_gate.cc
+++ b/Libraries/LibTraffic/backend_gate.cc
@@ -28,14 +28,18 @@
   return {};
 }
 
-task<gate_reply> backend_gate::Enter(time_point deadline,
-                                     request_priority priority) {
+owner_load backend_gate::Load() const {
+  const std::lock_guard lock{mutex_};
+  return admission_.Load();
+}
+
+task<gate_reply> backend_gate::Enter(arriving_request arriving) {
   const auto executor = co_await boost::asio::this_coro::executor;
   std::shared_ptr<waiter> waiting;
   admission_reply reply;
   {
     const std::lock_guard lock{mutex_};
-    reply = admission_.Arrive(clock_.Now(), deadline, priority);
+    reply = admission_.Arrive(clock_.Now(), arriving);
     Apply(reply.effects);
     if (reply.decided == admission_reply::kind::kQueued) {
       waiting = std::make_shared<waiter>(executor);
@@ -48,22 +52,22 @@
   } else if (reply.decided == admission_reply::kind::kStart) {
     entered.slot = backend_slot{*this, reply.id};
   } else {
-    entered = co_await Wait(reply.id, std::move(waiting), deadline);
+    entered = co_await Wait(reply.id, std::move(waiting), reply.start_by);
   }
   co_return entered;
 }
 
 task<gate_reply> backend_gate::Wait(admission_id id,
                                     std::shared_ptr<waiter> waiting,
-                                    time_point deadline) {
-  waiting->timer.expires_after(deadline - clock_.Now());
+                                    time_point start_by) {
+  waiting->timer.expires_after(start_by - clock_.Now());
   while (true) {
     {
       const std::lock_guard lock{mutex_};
-      if (!waiting->is_decided && clock_.Now() >= deadline &&
+      if (!waiting->is_decided && clock_.Now() >= start_by &&
           admission_.Withdraw(id)) {
         waiting->is_decided = true;
-        waiting->refused = refusal_cause::kTooLate;
+        waiting->refused = refusal_cause::kOverloaded;
         waiters_.erase(id);
       }
       if (waiting->is_decided) {
--- a/Libraries/LibTraffic/backend_gate.h
+++ b/Libraries/LibTraffic/backend_gate.h
@@ -52,8 +52,10 @@
 
   void SetLimits(const upstream_limits& limits);
 
-  /// Waits for a slot until `deadline` at most.
-  task<gate_reply> Enter(time_point deadline, request_priority priority);
+  /// Waits for a slot, as long as the admission allows.
+  task<gate_reply> Enter(arriving_request arriving);
+
+  owner_load Load() const;
 
   /// Called by backend_slot.
   void Leave(admission_id id);
@@ -73,10 +75,10 @@
 
   void Apply(std::span<const admission_effect> effects);
   task<gate_reply> Wait(admission_id id, std::shared_ptr<waiter> waiting,
-                        time_point deadline);
+                        time_point start_by);
 
   const runtime_clock& clock_;
-  std::mutex mutex_;
+  mutable std::mutex mutex_;
   admission admission_;
   std::map<admission_id, std::shared_ptr<waiter>> waiters_;
   std::atomic<int> kept_connections_{0};
--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -145,7 +145,7 @@
         chosen.repeatable, ToStandard(request.message.method_string()));
     entry_result result = co_await RunRequest(
         worker_, entry_request{request, caller_, chosen, target, snapshot,
-                               deadline, is_idempotent});
+                               deadline, ObjectiveOf(chosen), is_idempotent});
     Record(chosen, target, result);
     if (!result.answer) {
       co_return co_await Refuse(result.proved, result.cause);
@@ -180,7 +180,7 @@
     CountVerdict(state_.counters, proved);
     const bool is_kept = MayKeep() && cause != refusal_cause::kBodyLost;
     refusal_answer refusal;
-    refusal.status = StatusOf(cause);
+    refusal.status = StatusOf(cause, proved);
     refusal.proved = proved;
     refusal.reason = NameOf(cause);
     refusal.request_id = id_;
@@ -196,6 +196,12 @@
     co_return is_kept ? next_step::kKeep : next_step::kCloseGently;
   }
 
+  time_point ObjectiveOf(const route& chosen) const {
+    const bool is_told =
+        chosen.latency_objective > std::chrono::milliseconds::zero();
+    return is_told ? objective_ : time_point{};
+  }
+
   std::chrono::milliseconds RetryAfter() {
     const time_point now = state_.clock.Now();
     if (deadline_ == time_point{}) {
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -28,7 +28,8 @@
 
 void PrepareForOwner(http_request& message, const upstream& owner,
                      const entry_request& asked, std::uint32_t attempt,
-                     duration left) {
+                     time_point now) {
+  const duration left = OwnerDeadline(asked.deadline, now) - now;
   const auto left_ms =
       std::chrono::duration_cast<std::chrono::milliseconds>(left);
   const auto rank = static_cast<unsigned>(asked.chosen_route.priority);
@@ -37,13 +38,37 @@
   SetField(message, kHopDeadlineField, std::to_string(left_ms.count()));
   SetField(message, kHopPriorityField, std::to_string(rank));
   SetField(message, kHopAttemptField, std::to_string(attempt));
+  if (asked.objective != time_point{}) {
+    const auto until = std::chrono::duration_cast<std::chrono::milliseconds>(
+        asked.objective - now);
+    SetField(message, kHopObjectiveField,
+             std::to_string(std::max<std::int64_t>(0, until.count())));
+  }
+}
+
+std::optional<owner_load> ParseLoad(std::string_view text) {
+  const auto first = text.find(' ');
+  const auto second = text.find(' ', first + 1);
+  if (first == std::string_view::npos || second == std::string_view::npos) {
+    return std::nullopt;
+  }
+  const auto wait = ParseNumber(text.substr(0, first));
+  const auto service = ParseNumber(text.substr(first + 1, second - first - 1));
+  const auto slots = ParseNumber(text.substr(second + 1));
+  if (!wait || !service || !slots) {
+    return std::nullopt;
+  }
+  return owner_load{std::chrono::microseconds{*wait},
+                    std::chrono::microseconds{*service},
+                    static_cast<std::uint32_t>(*slots)};
 }
 
-// Reads the owner's verdict out of its answer.
+// Reads the owner's verdict and load out of its answer.
 void RecognizeVerdict(attempt_result& result) {
   if (!result.answer) {
     return;
   }
+  result.load = ParseLoad(FieldOf(result.answer->message, kLoadField));
   const std::string_view told = FieldOf(result.answer->message, kVerdictField);
   if (told == NameOf(verdict::kRan)) {
     RemoveConnectionAndOwnFields(result.answer->message);
@@ -78,8 +103,7 @@
     co_return result;
   }
   const time_point now = clock.Now();
-  PrepareForOwner(asked.request.message, owner, asked, attempt,
-                  OwnerDeadline(asked.deadline, now) - now);
+  PrepareForOwner(asked.request.message, owner, asked, attempt, now);
   result = co_await Exchange(connection, asked.request, asked.deadline, clock,
                              id_rule::kRequired, watch);
   if (connection != nullptr) {
@@ -92,6 +116,7 @@
 attempt_sign SignOfRefusal(refusal_cause cause) {
   switch (cause) {
     case refusal_cause::kQueueFull:
+    case refusal_cause::kOverloaded:
     case refusal_cause::kShed:
     case refusal_cause::kDraining:
     case refusal_cause::kTooLate:
@@ -210,13 +235,20 @@
     if (chosen.vm == state_.settings.vm) {
       ended = co_await RunAtBackendServer(
           worker_, owner_request{asked_.request, watch_, asked_.deadline,
-                                 asked_.chosen_route.priority});
+                                 asked_.chosen_route.priority,
+                                 asked_.objective});
+      ended.load = state_.gate.Load();
     } else {
       ended =
           co_await RunAtOwner(worker_, asked_, chosen, result.attempts, watch_);
     }
     const time_point end = state_.clock.Now();
     view_.chooser.End(end, chosen.vm, SignOf(ended), end - begin);
+    if (ended.load) {
+      view_.chooser.Told(end, chosen.vm,
+                         {ended.load->wait, ended.load->service,
+                          ended.load->slots});
+    }
     arrivals_ += HasArrived(ended) ? 1 : 0;
     const attempt_judgement judged =
         Judge(ended.outcome, ended.cause, asked_.is_idempotent);
--- a/Libraries/LibTraffic/entry.h
+++ b/Libraries/LibTraffic/entry.h
@@ -16,6 +16,7 @@
   const service& target;
   const routing_snapshot& snapshot;  ///< Kept until the request's end.
   time_point deadline;
+  time_point objective{};  ///< Zero when the route tells none.
   bool is_idempotent = false;
 };
 
--- a/Libraries/LibTraffic/exchange.h
+++ b/Libraries/LibTraffic/exchange.h
@@ -5,6 +5,7 @@
 #include <string_view>
 
 #include "LibBase/clock.h"
+#include "LibLoad/admission.h"
 #include "LibLoad/attempt_outcome.h"
 #include "LibTraffic/departure_watch.h"
 #include "LibTraffic/http_message.h"
@@ -19,6 +20,7 @@
   /// Some of the request was sent to a backend server, which counts it even if
   /// it refuses it.
   bool has_arrived = false;
+  std::optional<owner_load> load;  ///< As the owner told it.
 };
 
 /// What is asked of the answer's "X-Request-Id".
--- a/Libraries/LibTraffic/header_fields.h
+++ b/Libraries/LibTraffic/header_fields.h
@@ -19,9 +19,15 @@
 inline constexpr std::string_view kHopVmField = "Wagtailmount-Hop-Vm";
 inline constexpr std::string_view kHopDeadlineField =
     "Wagtailmount-Hop-Deadline-Ms";
+/// Milliseconds until the answer loses its full worth; missing when not told.
+inline constexpr std::string_view kHopObjectiveField =
+    "Wagtailmount-Hop-Objective-Ms";
 inline constexpr std::string_view kHopPriorityField =
     "Wagtailmount-Hop-Priority";
 inline constexpr std::string_view kHopAttemptField = "Wagtailmount-Hop-Attempt";
+/// In an owner's answers: its load, as three whole numbers: microseconds of
+/// wait, microseconds of service, slots.
+inline constexpr std::string_view kLoadField = "Wagtailmount-Load";
 /// In a refusal: some of the request was sent to the backend server.
 inline constexpr std::string_view kArrivedField = "Wagtailmount-Arrived";
 inline constexpr std::string_view kRequestIdField = "X-Request-Id";
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -49,9 +49,14 @@
     const auto rank = ParseNumber(FieldOf(head, kHopPriorityField));
     priority_ = static_cast<request_priority>(
         std::min(rank.value_or(kLastRank), kLastRank));
+    const auto objective = ParseNumber(FieldOf(head, kHopObjectiveField));
     constexpr std::uint64_t kLongestDeadlineMs = 3'600'000;
     deadline_ =
         now + std::chrono::milliseconds{std::min(*left, kLongestDeadlineMs)};
+    if (objective) {
+      objective_ = now + std::chrono::milliseconds{
+                             std::min(*objective, kLongestDeadlineMs)};
+    }
     co_return co_await Run();
   }
 
@@ -79,7 +84,8 @@
       watch.Start();
     }
     attempt_result result = co_await RunAtBackendServer(
-        worker_, owner_request{request, watch, deadline_, priority_});
+        worker_,
+        owner_request{request, watch, deadline_, priority_, objective_});
     if (!result.answer) {
       // Judged as if nothing could be repeated: whether to try again is for
       // the asker to say.
@@ -90,6 +96,7 @@
     }
     const bool is_kept = MayKeep();
     FinishAnswer(*result.answer, id_, is_head_, is_kept);
+    SetField(result.answer->message, kLoadField, LoadText());
     const bool is_written = co_await WriteAnswer(asker_, *result.answer);
     if (!is_written) {
       ++state_.counters.late_answers_dropped;
@@ -97,6 +104,16 @@
     co_return is_written&& is_kept;
   }
 
+  std::string LoadText() const {
+    using std::chrono::duration_cast;
+    using std::chrono::microseconds;
+    const owner_load load = state_.gate.Load();
+    return std::to_string(duration_cast<microseconds>(load.wait).count()) +
+           " " +
+           std::to_string(duration_cast<microseconds>(load.service).count()) +
+           " " + std::to_string(load.slots);
+  }
+
   bool MayKeep() const {
     return parser_.is_done() && parser_.keep_alive() && !state_.is_leaving;
   }
@@ -105,13 +122,15 @@
                     bool has_arrived = false) {
     const bool is_kept = MayKeep();
     refusal_answer refusal;
-    refusal.status = StatusOf(cause);
+    refusal.status = StatusOf(cause, proved);
     refusal.proved = proved;
     refusal.reason = NameOf(cause);
     refusal.request_id = id_;
     refusal.is_kept = is_kept;
     refusal.is_head = is_head_;
     refusal.has_arrived = has_arrived;
+    const std::string load = LoadText();
+    refusal.load = load;
     const bool is_written = co_await WriteRefusal(asker_, refusal);
     if (is_written && !is_kept) {
       co_await CloseGently(asker_);
@@ -125,6 +144,7 @@
   http_request_parser parser_;
   std::string id_;
   time_point deadline_;
+  time_point objective_{};
   request_priority priority_ = request_priority::kInteractive;
   bool is_head_ = false;
 };
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -33,7 +33,7 @@
                              time_point deadline, time_point now) {
   for (const std::string_view name :
        {kHopServiceField, kHopVmField, kHopDeadlineField, kHopPriorityField,
-        kHopAttemptField}) {
+        kHopAttemptField, kHopObjectiveField}) {
     message.erase(ToBoost(name));
   }
   SetField(message, deadline_field, MillisecondsLeft(deadline, now));
@@ -103,7 +103,8 @@
                                         owner_request asked) {
   traffic_state& state = worker.state;
   gate_reply entered =
-      co_await state.gate.Enter(asked.deadline, asked.priority);
+      co_await state.gate.Enter({asked.deadline, asked.priority,
+                                 asked.objective});
   if (entered.refused != refusal_cause::kNone) {
     ++state.counters.owner_refused;
     co_return Refused(entered.refused);
--- a/Libraries/LibTraffic/owner.h
+++ b/Libraries/LibTraffic/owner.h
@@ -11,6 +11,7 @@
   departure_watch& watch;  ///< Over the connection where the answer goes.
   time_point deadline;
   request_priority priority = request_priority::kInteractive;
+  time_point objective{};  ///< Zero when it is not told.
 };
 
 /// Runs a request at the backend server of this VM: waits for a slot, makes
