LibNode: Bring updates over a failure domain's border only on request

Change: push within the failure domain, tell the state across, ask for what the own reader has not brought in 350 ms; the stand-by reader takes the second link of followers, not the next domain's reader.

--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -1,6 +1,7 @@
 #include "LibNode/catalog_control.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "LibBase/digest.h"
@@ -17,6 +18,9 @@
 /// A link that is silent for so long is closed. Source: four heartbeats.
 constexpr milliseconds kLinkSilence{1'800};
 constexpr milliseconds kLinkBackoff{1'000};
+/// How long news of another failure domain may still come from the own reader.
+/// Source: catalog_feed's pause between two watches, and a margin.
+constexpr milliseconds kRemotePatience{350};
 /// Beyond that age of the platform's last word, entries that vanish may have
 /// lapsed while the platform was away. Source: catalog_feed's staleness.
 constexpr milliseconds kFreshAge{1'400};
@@ -77,6 +81,7 @@
     is_snapshot_due_ = true;
   }
   PublishIfChanged();
+  RequestWhatIsLacking(now);
   SendToPeers(now);
   const bool is_confirmed = is_fresh_ || now - started_at_ > kLongestConfirmation;
   if (!is_serving_ && in_force_ != nullptr && is_confirmed) {
@@ -301,41 +306,50 @@
       directory_.Own(declared ? declared->limits : upstream_limits{})));
 }
 
-// In each failure domain the VM of the lowest hash reads the platform. Every
-// node has a link to the reader of its own failure domain and to that of the
-// next, and readers have links to each other.
+// In each failure domain the VM of the lowest hash reads the platform, and the
+// next one stands by. Both have links to all nodes of their failure domain, and
+// the readers have links to each other.
 void catalog_control::ChoosePeers() {
   std::map<std::string, std::string> reader_of;  // By failure domain.
+  std::vector<std::string> own_domain;
+  const auto is_before = [](const std::string& left, const std::string& right) {
+    return HashOf(left) < HashOf(right);
+  };
   for (const neighbour& each : directory_.Neighbours()) {
     std::string& best = reader_of[each.failure_domain];
-    if (best.empty() || HashOf(each.vm) < HashOf(best)) {
+    if (best.empty() || is_before(each.vm, best)) {
       best = each.vm;
     }
+    if (each.failure_domain == settings_.failure_domain) {
+      own_domain.push_back(each.vm);
+    }
   }
-  const auto own = reader_of.find(settings_.failure_domain);
-  const bool is_reader = own != reader_of.end() && own->second == settings_.vm;
+  std::sort(own_domain.begin(), own_domain.end(), is_before);
+  const bool is_reader =
+      !own_domain.empty() && own_domain.front() == settings_.vm;
   if (is_reader != feed_.IsReader()) {
     feed_.SetReader(is_reader);
     log_.Add(log_line{"reader-role"}.Flag("is_reader", is_reader));
   }
-  std::vector<wanted_peer> wanted;
-  const auto want = [&](const std::string& vm) {
-    if (vm != settings_.vm) {
-      wanted.push_back({vm, {vm, settings_.advertised_peer.port}});
+  std::set<std::string> wanted;
+  constexpr std::size_t kLinksInDomain = 2;
+  for (const std::string& vm : own_domain) {
+    if (wanted.size() < kLinksInDomain) {
+      wanted.insert(vm);
     }
-  };
-  if (is_reader) {
+  }
+  const bool is_alone = own_domain.size() <= 1;
+  if (is_reader || is_alone) {
     for (const auto& [domain, vm] : reader_of) {
-      want(vm);
+      wanted.insert(vm);
     }
-  } else if (own != reader_of.end()) {
-    want(own->second);
-    const auto next = std::next(own);
-    want(next == reader_of.end() ? reader_of.begin()->second : next->second);
-  } else if (!reader_of.empty()) {
-    want(reader_of.begin()->second);
-  }
-  links_.SetWanted(wanted);
+  }
+  wanted.erase(settings_.vm);
+  std::vector<wanted_peer> peers;
+  for (const std::string& vm : wanted) {
+    peers.push_back({vm, {vm, settings_.advertised_peer.port}});
+  }
+  links_.SetWanted(peers);
 }
 
 milliseconds catalog_control::AgeToTell() const {
@@ -343,11 +357,14 @@
   return age ? std::min(*age, kUnknownSourceAge) : kUnknownSourceAge;
 }
 
-// Changes go out at once; the state every while, as heartbeat.
+// Changes go out at once within the failure domain; others are told that there
+// are some, for they read the platform themselves and bytes between failure
+// domains are dear. The state goes out every while too, as heartbeat.
 void catalog_control::SendToPeers(time_point now) {
   const std::uint64_t complete_to = catalog_.CompleteTo();
   const bool is_state_due = now >= next_state_;
-  if (complete_to == told_complete_to_ && !is_state_due) {
+  const bool is_news = complete_to != told_complete_to_;
+  if (!is_news && !is_state_due) {
     return;
   }
   told_complete_to_ = complete_to;
@@ -355,23 +372,44 @@
     next_state_ = now + kStatePeriod;
   }
   for (const std::string& peer : links_.Peers()) {
-    const auto known = peers_complete_to_.find(peer);
-    if (known != peers_complete_to_.end() && known->second > 0 &&
-        known->second < complete_to) {
-      catalog_update update = catalog_.UpdateAfter(known->second);
+    peer_facts& known = peers_[peer];
+    if (known.is_near && known.complete_to > 0 &&
+        known.complete_to < complete_to) {
+      catalog_update update = catalog_.UpdateAfter(known.complete_to);
       if (!update.items.empty() &&
           links_.Send(peer, catalog_update_message{std::move(update),
                                                    AgeToTell()})) {
-        known->second = complete_to;
+        known.complete_to = complete_to;
         continue;
       }
     }
-    if (is_state_due) {
+    if (is_state_due || known.complete_to < complete_to) {
       links_.Send(peer, catalog_state_message{complete_to, AgeToTell()});
     }
   }
 }
 
+// What a peer of the own failure domain holds is asked for at once. Others wait
+// a little: most of the time the own reader brings the same.
+void catalog_control::RequestWhatIsLacking(time_point now) {
+  for (auto& [peer, known] : peers_) {
+    if (known.complete_to <= catalog_.CompleteTo()) {
+      known.ahead_since = time_point{};
+      continue;
+    }
+    if (known.ahead_since == time_point{}) {
+      known.ahead_since = now;
+    }
+    const bool is_due =
+        known.is_near || now - known.ahead_since >= kRemotePatience;
+    if (is_due && links_.Send(peer, catalog_request_message{
+                                        catalog_.CompleteTo()})) {
+      known.ahead_since = now;
+      return;
+    }
+  }
+}
+
 hello_message catalog_control::MakeHello(std::string_view) {
   hello_message hello;
   hello.sender = {.vm = settings_.vm,
@@ -386,9 +424,12 @@
 }
 
 void catalog_control::OnPeerUp(const std::string& peer_vm,
-                               const hello_message&) {
+                               const hello_message& hello) {
   log_.Add(log_line{"peer-up"}.Text("peer", peer_vm));
-  peers_complete_to_[peer_vm] = 0;
+  peers_[peer_vm] = {
+      .complete_to = 0,
+      .is_near = hello.sender.failure_domain == settings_.failure_domain,
+      .ahead_since = {}};
   links_.Send(peer_vm,
               catalog_state_message{catalog_.CompleteTo(), AgeToTell()});
 }
@@ -396,7 +437,7 @@
 void catalog_control::OnPeerDown(const std::string& peer_vm,
                                  std::string_view reason) {
   log_.Add(log_line{"peer-down"}.Text("peer", peer_vm).Text("reason", reason));
-  peers_complete_to_.erase(peer_vm);
+  peers_.erase(peer_vm);
 }
 
 void catalog_control::OnPeerMessage(const std::string& peer_vm,
@@ -413,11 +454,11 @@
 
 void catalog_control::Handle(const std::string& peer_vm,
                              const catalog_state_message& state) {
-  peers_complete_to_[peer_vm] = state.complete_to;
-  if (state.complete_to > catalog_.CompleteTo()) {
-    links_.Send(peer_vm, catalog_request_message{catalog_.CompleteTo()});
-  } else if (state.complete_to == catalog_.CompleteTo()) {
+  peers_[peer_vm].complete_to = state.complete_to;
+  if (state.complete_to == catalog_.CompleteTo()) {
     feed_.HearOfPeer(clock_.Now(), state.source_age);
+  } else {
+    RequestWhatIsLacking(clock_.Now());
   }
 }
 
@@ -429,14 +470,14 @@
   if (links_.Send(peer_vm,
                   catalog_update_message{catalog_.UpdateAfter(request.after),
                                          AgeToTell()})) {
-    peers_complete_to_[peer_vm] = catalog_.CompleteTo();
+    peers_[peer_vm].complete_to = catalog_.CompleteTo();
   }
 }
 
 void catalog_control::Handle(const std::string& peer_vm,
                              const catalog_update_message& sent) {
-  peers_complete_to_[peer_vm] =
-      std::max(peers_complete_to_[peer_vm], sent.update.complete_to);
+  peer_facts& known = peers_[peer_vm];
+  known.complete_to = std::max(known.complete_to, sent.update.complete_to);
   if (sent.update.after > catalog_.CompleteTo()) {
     links_.Send(peer_vm, catalog_request_message{catalog_.CompleteTo()});
     return;
--- a/Libraries/LibNode/catalog_control.h
+++ b/Libraries/LibNode/catalog_control.h
@@ -74,6 +74,12 @@
     std::optional<upstream_record> record;
   };
 
+  struct peer_facts {
+    std::uint64_t complete_to = 0;  ///< What it is known to hold; 0: not known.
+    bool is_near = false;           ///< In the own failure domain.
+    time_point ahead_since{};       ///< Zero while this node lacks nothing.
+  };
+
   void CallPlatform(time_point now);
   void List(bool may_be_stale);
   void ListFrom(std::string after_key, bool may_be_stale);
@@ -88,6 +94,7 @@
   void WatchFreshness(time_point now);
   void ChoosePeers();
   void SendToPeers(time_point now);
+  void RequestWhatIsLacking(time_point now);
   std::chrono::milliseconds AgeToTell() const;
   void Handle(const std::string& peer_vm, const catalog_state_message& state);
   void Handle(const std::string& peer_vm,
@@ -115,8 +122,7 @@
   std::uint64_t call_number_ = 0;
   std::uint64_t platform_calls_ = 0;
   std::uint64_t platform_failures_ = 0;
-  /// Up to which revision each peer is known to be complete.
-  std::map<std::string, std::uint64_t, std::less<>> peers_complete_to_;
+  std::map<std::string, peer_facts, std::less<>> peers_;
   std::uint64_t told_complete_to_ = 0;
   time_point next_state_{};
   time_point unfresh_at_{};  ///< When the catalog was last no longer fresh.
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -105,7 +105,7 @@
   const time_point now = clock.Now();
   PrepareForOwner(asked.request.message, owner, asked, attempt, now);
   result = co_await Exchange(connection, asked.request, asked.deadline, clock,
-                             id_rule::kRequired, watch);
+                             {.id = id_rule::kRequired}, watch);
   if (connection != nullptr) {
     worker.pool.Keep(owner.hop, std::move(connection), clock.Now());
   }
--- a/Libraries/LibTraffic/exchange.cc
+++ b/Libraries/LibTraffic/exchange.cc
@@ -65,7 +65,7 @@
 task<attempt_result> ReadAnswer(std::unique_ptr<http_connection>& connection,
                                 const outgoing_request& request,
                                 time_point deadline, const runtime_clock& clock,
-                                id_rule rule) {
+                                answer_rules rules) {
   attempt_result result;
   connection->stream.expires_after(deadline - clock.Now());
   error_code failure;
@@ -78,7 +78,13 @@
                                           : attempt_outcome::kNoAnswerInTime;
     co_return result;
   }
-  if (!IsIdOf(request, parser->get(), rule)) {
+  if (parser->need_eof() && !parser->is_done() &&
+      !rules.may_end_with_connection) {
+    // A close alone can't be told from a truncation.
+    result.outcome = attempt_outcome::kAnswerMalformed;
+    co_return result;
+  }
+  if (!IsIdOf(request, parser->get(), rules.id)) {
     result.outcome = attempt_outcome::kIdMismatch;
     co_return result;
   }
@@ -111,14 +117,14 @@
 
 task<attempt_result> Exchange(std::unique_ptr<http_connection>& connection,
                               outgoing_request& request, time_point deadline,
-                              const runtime_clock& clock, id_rule rule,
+                              const runtime_clock& clock, answer_rules rules,
                               departure_watch& watch) {
   watch.Guard(connection.get());
   connection->stream.expires_after(deadline - clock.Now());
   attempt_result result;
   const write_status written = co_await WriteRequest(*connection, request);
   if (written == write_status::kWritten) {
-    result = co_await ReadAnswer(connection, request, deadline, clock, rule);
+    result = co_await ReadAnswer(connection, request, deadline, clock, rules);
   } else {
     result.outcome = OutcomeOf(written, clock.Now() < deadline);
   }
--- a/Libraries/LibTraffic/exchange.h
+++ b/Libraries/LibTraffic/exchange.h
@@ -29,12 +29,19 @@
   kRequired,  ///< Another node must.
 };
 
+/// What is asked of an answer.
+struct answer_rules {
+  id_rule id = id_rule::kIfGiven;
+  /// It may have no length and end with its connection.
+  bool may_end_with_connection = false;
+};
+
 /// Writes `request` on `connection` and reads the answer, until `deadline` or
 /// until `watch` sees the asker leave, which closes the connection. On return
 /// `connection` is null unless it can carry another exchange.
 task<attempt_result> Exchange(std::unique_ptr<http_connection>& connection,
                               outgoing_request& request, time_point deadline,
-                              const runtime_clock& clock, id_rule rule,
+                              const runtime_clock& clock, answer_rules rules,
                               departure_watch& watch);
 
 }  // namespace wagtailmount::detail
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -133,7 +133,10 @@
                           asked.deadline, now);
   attempt_result result =
       co_await Exchange(connection, asked.request, asked.deadline, state.clock,
-                        id_rule::kIfGiven, asked.watch);
+                        {.id = id_rule::kIfGiven,
+                         .may_end_with_connection =
+                             fields.may_end_with_connection},
+                        asked.watch);
   if (connection != nullptr) {
     KeepConnection(worker, std::move(connection));
   }
--- a/Libraries/LibTraffic/request_fields.h
+++ b/Libraries/LibTraffic/request_fields.h
@@ -4,7 +4,7 @@
 
 namespace wagtailmount {
 
-/// The header fields by which callers and backend servers speak of a request.
+/// How callers and backend servers speak of a request: mostly header fields.
 /// All names must outlive the traffic server. An empty name: not spoken of.
 struct request_fields {
   /// From callers: the milliseconds that they will wait.
@@ -21,6 +21,9 @@
   /// In a backend server's answer: shows that it is the backend server's own.
   /// A success without it is none.
   std::string_view proof_of_origin;
+  /// A backend server's answer may have no length and end with its connection;
+  /// one that is reset is not whole.
+  bool may_end_with_connection = false;
 };
 
 }  // namespace wagtailmount
--- a/Tests/LibLink/test_message_codec.cc
+++ b/Tests/LibLink/test_message_codec.cc
@@ -54,6 +54,14 @@
       compare_message{version, 9, ~std::uint64_t{0},
                       std::chrono::milliseconds{20}},
       membership_request_message{{42, 43}},
+      catalog_state_message{41, std::chrono::milliseconds{30}},
+      catalog_request_message{40},
+      catalog_update_message{
+          {40,
+           42,
+           {{"a/1", 41, 7, false, std::make_shared<const std::string>(all_bytes)},
+            {"a/2", 42, 8, true, nullptr}}},
+          std::chrono::milliseconds{5}},
   };
 }
 
@@ -85,7 +93,7 @@
       {"a map", FrameOf(json::object({{"kind", 1}})), "holds a map"},
       {"a bare number", FrameOf(5), "message is not an array"},
       {"no fields", FrameOf({1}), "message has 1 items instead of 2"},
-      {"unknown kind", FrameOf({10, json::array()}), "kind is over 9"},
+      {"unknown kind", FrameOf({13, json::array()}), "kind is over 12"},
       {"negative kind", FrameOf({-1, json::array()}),
        "kind is not an unsigned number"},
       {"fields of another kind", FrameOf({1, {version, 0}}),
@@ -128,6 +136,15 @@
        "names are too many"},
       {"refusal without a reason", FrameOf({6, {version, json::array()}}),
        "reasons are empty"},
+      {"catalog state of another length", FrameOf({10, {1}}),
+       "catalog state has 1 items instead of 2"},
+      {"nameless catalog item",
+       FrameOf(
+           {12, {1, 2, json::array({{"", 1, 1, 0, BinaryOf(1)}}), 0}}),
+       "key is empty"},
+      {"catalog content as text",
+       FrameOf({12, {1, 2, json::array({{"a", 1, 1, 0, "text"}}), 0}}),
+       "content is not a byte string"},
   };
 }
 
