LibCatalog: Let followers watch until peers feed them, and doubt removals only after a failed call

A failure domain's reader had stopped; its followers read once, relied on peers again for 1.4 s, and took their own staleness for an outage, so that an entry removed at 29.1 s was kept until 32 s. Ruled out: the owner's queue (its wait was 2 ms in the traced request). Change: own reads and peers' word are kept apart; an entry is doubted only when the platform refused this node a call.

--- a/Libraries/LibCatalog/catalog_feed.cc
+++ b/Libraries/LibCatalog/catalog_feed.cc
@@ -23,21 +23,20 @@
     return feed_call::kNone;
   }
   if (needs_listing_ || complete_to == 0) {
-    const bool is_fed = complete_to > 0 && Age(now) < settings_.stale_after;
-    if (is_fed && !is_reader_) {
+    if (complete_to > 0 && IsFedByPeers(now) && !is_reader_) {
       needs_listing_ = false;
       return feed_call::kNone;
     }
     return may_list_stale_ ? feed_call::kListStale : feed_call::kList;
   }
-  const auto age = Age(now);
-  if (!is_reader_ && !age && now < listed_at_ + settings_.peer_grace) {
-    return feed_call::kNone;
-  }
-  if (is_reader_ || !age || *age > settings_.stale_after) {
-    return feed_call::kWatch;
-  }
-  return feed_call::kNone;
+  const bool has_just_listed = now < listed_at_ + settings_.peer_grace;
+  const bool may_rely_on_peers = IsFedByPeers(now) || has_just_listed;
+  return !is_reader_ && may_rely_on_peers ? feed_call::kNone
+                                          : feed_call::kWatch;
+}
+
+bool catalog_feed::IsFedByPeers(time_point now) const {
+  return peer_fresh_at_ && now - *peer_fresh_at_ <= settings_.stale_after;
 }
 
 void catalog_feed::Begin(time_point now, feed_call call) {
@@ -61,9 +60,6 @@
     PutOff(now);
     return;
   }
-  if (failures_in_row_ > 0) {
-    regained_at_ = now;
-  }
   failures_in_row_ = 0;
   next_call_ = now;
   if (ended == feed_call::kWatch) {
@@ -80,6 +76,7 @@
 
 void catalog_feed::PutOff(time_point now) {
   ++failures_in_row_;
+  failed_at_ = now;
   const milliseconds longest = is_reader_ ? settings_.longest_backoff
                                           : settings_.longest_follower_backoff;
   const std::uint32_t doublings = std::min(failures_in_row_ - 1, 5U);
@@ -92,11 +89,11 @@
 
 void catalog_feed::HearOfPeer(time_point now, milliseconds age) {
   const time_point then = now - age;
-  fresh_at_ = fresh_at_ ? std::max(*fresh_at_, then) : then;
+  peer_fresh_at_ = peer_fresh_at_ ? std::max(*peer_fresh_at_, then) : then;
 }
 
 std::optional<milliseconds> catalog_feed::Age(time_point now) const {
-  std::optional<time_point> fresh = fresh_at_;
+  std::optional<time_point> fresh = std::max(fresh_at_, peer_fresh_at_);
   const duration waiting = now - in_flight_since_;
   if (in_flight_ == feed_call::kWatch && waiting >= kWatchTaken &&
       waiting < kWatchVouches) {
--- a/Libraries/LibCatalog/catalog_feed.h
+++ b/Libraries/LibCatalog/catalog_feed.h
@@ -25,9 +25,9 @@
 class catalog_feed {
  public:
   struct settings {
-    /// Peers' news older than this make a node read by itself. Source: a third
-    /// of the least bound on leaving upstreams, which is 2 s.
-    std::chrono::milliseconds stale_after{1'400};
+    /// Peers' news older than this make a node read by itself. Source: half of
+    /// the least bound on leaving upstreams, which is 2 s.
+    std::chrono::milliseconds stale_after{1'000};
     /// Pause between two watches, so that changes in quick succession cost one
     /// call. Source: a tenth of the least bound on leaving upstreams.
     std::chrono::milliseconds watch_pause{200};
@@ -66,11 +66,12 @@
   std::optional<std::chrono::milliseconds> Age(time_point now) const;
 
   bool IsInFlight() const { return in_flight_ != feed_call::kNone; }
-  /// When the platform last began to answer after it had failed.
-  time_point RegainedAt() const { return regained_at_; }
   bool IsFailing() const { return failures_in_row_ > 0; }
+  /// When a call of this node last failed.
+  std::optional<time_point> FailedAt() const { return failed_at_; }
 
  private:
+  bool IsFedByPeers(time_point now) const;
   void PutOff(time_point now);
 
   settings settings_;
@@ -83,8 +84,9 @@
   time_point next_call_{};
   time_point listed_at_{};
   std::uint32_t failures_in_row_ = 0;
-  std::optional<time_point> fresh_at_;
-  time_point regained_at_{};
+  std::optional<time_point> fresh_at_;       ///< By own calls.
+  std::optional<time_point> peer_fresh_at_;  ///< By peers' word.
+  std::optional<time_point> failed_at_;
 };
 
 }  // namespace wagtailmount
--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -14,18 +14,20 @@
 
 /// The heartbeat of links. Source: three in a row are missed before a follower
 /// reads by itself (catalog_feed::settings::stale_after).
-constexpr milliseconds kStatePeriod{450};
+constexpr milliseconds kStatePeriod{300};
+/// The like of links to other failure domains.
+constexpr milliseconds kRemoteStatePeriod{900};
 /// A link that is silent for so long is closed. Source: four heartbeats.
 constexpr milliseconds kLinkSilence{1'800};
 constexpr milliseconds kLinkBackoff{1'000};
 /// How long news of another failure domain may still come from the own reader.
 /// Source: catalog_feed's pause between two watches, and a margin.
 constexpr milliseconds kRemotePatience{350};
-/// Beyond that age of the platform's last word, entries that vanish may have
-/// lapsed while the platform was away. Source: catalog_feed's staleness.
+/// Beyond that age of the platform's last word, a catalog does not count as
+/// fresh. Source: catalog_feed's staleness, and the time to read.
 constexpr milliseconds kFreshAge{1'400};
-/// How long after that such entries stay: live backend servers have registered
-/// again by then. Source: two seconds by the platform's word, and a margin.
+/// How long after a failed call of the platform entries stay that vanish: live
+/// backend servers have registered again by then. Source: two seconds by the platform's word, and a margin.
 constexpr milliseconds kDoubt{2'500};
 /// How long a start waits for a confirmation of what a stale listing gave.
 /// Source: a link's handshake or a call, and a margin.
@@ -96,11 +98,6 @@
 void catalog_control::WatchFreshness(time_point now) {
   const auto age = feed_.Age(now);
   const bool is_fresh = age && *age < kFreshAge;
-  // A start that knows nothing yet is no outage of the platform.
-  if (!is_fresh && was_fresh_) {
-    unfresh_at_ = now;
-  }
-  was_fresh_ |= is_fresh;
   if (is_fresh != is_fresh_) {
     is_fresh_ = is_fresh;
     log_.Add(log_line{is_fresh ? "catalog-fresh" : "catalog-not-fresh"}
@@ -284,7 +281,9 @@
   }
   registered_ = std::move(registered);
   const time_point now = clock_.Now();
-  const time_point doubt_until = unfresh_at_ + kDoubt;
+  // Only a platform that did not answer may have let live entries lapse.
+  const time_point doubt_until =
+      feed_.FailedAt() ? *feed_.FailedAt() + kDoubt : time_point{};
   directory_.Update(now, registered_, doubt_until);
   is_snapshot_due_ = true;
   log_.Add(log_line{"upstreams-changed"}
@@ -363,6 +362,7 @@
 void catalog_control::SendToPeers(time_point now) {
   const std::uint64_t complete_to = catalog_.CompleteTo();
   const bool is_state_due = now >= next_state_;
+  const bool is_remote_due = now >= next_remote_state_;
   const bool is_news = complete_to != told_complete_to_;
   if (!is_news && !is_state_due) {
     return;
@@ -371,6 +371,9 @@
   if (is_state_due) {
     next_state_ = now + kStatePeriod;
   }
+  if (is_remote_due) {
+    next_remote_state_ = now + kRemoteStatePeriod;
+  }
   for (const std::string& peer : links_.Peers()) {
     peer_facts& known = peers_[peer];
     if (known.is_near && known.complete_to > 0 &&
@@ -383,7 +386,8 @@
         continue;
       }
     }
-    if (is_state_due || known.complete_to < complete_to) {
+    const bool is_due = known.is_near ? is_state_due : is_remote_due;
+    if (is_due || known.complete_to < complete_to) {
       links_.Send(peer, catalog_state_message{complete_to, AgeToTell()});
     }
   }
