LibRouting: Ask owners of other failure domains only where room was told

Change: owners of other failure domains are left out while they told a wait that is too long, with a half-life of 1 s; a late request goes elsewhere only where a slot is free; what is near and on time stays near; requests are logged.

--- a/Libraries/LibNode/catalog_node.cc
+++ b/Libraries/LibNode/catalog_node.cc
@@ -52,7 +52,7 @@
                              .threads = settings_.traffic_threads,
                              .seed = seed,
                              .fields = adapter_.fields},
-                            clock_);
+                            clock_, &log_);
   if (!traffic) {
     return tl::unexpected(traffic.error());
   }
--- a/Libraries/LibRouting/upstream_choice.cc
+++ b/Libraries/LibRouting/upstream_choice.cc
@@ -34,10 +34,14 @@
 // usual objectives of half a second; bytes between failure domains are dear.
 constexpr std::array<milliseconds, 3> kDistanceCost{
     milliseconds{0}, milliseconds{150}, milliseconds{400}};
+// An answer expected within that part of the objective is taken to be on time.
+// Source: durations spread by about a third around their mean.
+constexpr double kObjectiveShare = 0.7;
 // For so long the load that an owner told goes before own observations.
-constexpr seconds kToldTime{2};
-// In that time half of the wait that was told has been worked off.
-constexpr milliseconds kToldHalfLife{300};
+constexpr seconds kToldTime{3};
+// In that time half of the wait that was told has been worked off. Source: the
+// order of a burst's length; asking sooner is mostly in vain.
+constexpr milliseconds kToldHalfLife{1'000};
 // How much dearer an upstream is of which all requests fail.
 constexpr double kFailureFactor = 8.0;
 // The weight of the newest outcome in the share of failures, as a divisor.
@@ -94,13 +98,16 @@
     if (candidates_.empty()) {
       continue;
     }
+    auto choice = ChooseAmongCandidates(now, upstreams, slow_start, random);
+    if (!choice) {
+      are_all_full_ = true;
+      continue;
+    }
     are_all_full_ = false;
-    upstream_choice choice =
-        ChooseAmongCandidates(now, upstreams, slow_start, random);
     if (wanted == standing::kEjected) {
-      choice.why = choice_reason::kEjected;
+      choice->why = choice_reason::kEjected;
     } else if (wanted == standing::kSuspect) {
-      choice.why = choice_reason::kSuspect;
+      choice->why = choice_reason::kSuspect;
     }
     return choice;
   }
@@ -110,8 +117,7 @@
 void upstream_chooser::Told(time_point now, std::string_view vm,
                             const told_load& load) {
   if (observations* const seen = Find(vm)) {
-    seen->told[IndexOf(load.rank)] = {load.wait, now, 0};
-    seen->told_service = load.service;
+    seen->told[IndexOf(load.rank)] = {load.wait, load.service, now, 0};
     seen->told_slots = std::max(1U, load.slots);
   }
 }
@@ -228,14 +234,9 @@
     const standing its = candidate.is_suspect ? standing::kSuspect
                          : is_ejected         ? standing::kEjected
                                               : standing::kGood;
-    if (candidate.is_leaving || is_tried || its != wanted) {
-      continue;
-    }
-    if (IsFull(now, seen_[index])) {
-      are_all_full_ = true;
-      continue;
+    if (!candidate.is_leaving && !is_tried && its == wanted) {
+      candidates_.push_back(index);
     }
-    candidates_.push_back(index);
   }
 }
 
@@ -247,9 +248,14 @@
                                                          : kOwnRegion;
 }
 
-upstream_choice upstream_chooser::ChooseAmongCandidates(
-    time_point now, std::span<const upstream> upstreams, duration slow_start,
-    random_source& random) {
+// Leaves the nearest in `candidates_` and puts the others into `farther_`. Those
+// of other failure domains that are full are in neither.
+void upstream_chooser::SplitByDistance(time_point now,
+                                       std::span<const upstream> upstreams) {
+  std::erase_if(candidates_, [&](std::size_t index) {
+    return DistanceOf(upstreams[index]) != kOwnDomain &&
+           IsFull(now, seen_[index]);
+  });
   int nearest = kElsewhere;
   for (const std::size_t index : candidates_) {
     nearest = std::min(nearest, DistanceOf(upstreams[index]));
@@ -262,15 +268,25 @@
     }
     return is_farther;
   });
+}
+
+std::optional<upstream_choice> upstream_chooser::ChooseAmongCandidates(
+    time_point now, std::span<const upstream> upstreams, duration slow_start,
+    random_source& random) {
+  SplitByDistance(now, upstreams);
+  if (candidates_.empty()) {
+    return std::nullopt;
+  }
   const std::size_t near = BestOfDrawn(now, candidates_, slow_start, random);
   if (farther_.empty()) {
-    return {&upstreams[near], choice_reason::kNear};
+    return upstream_choice{&upstreams[near], choice_reason::kNear};
   }
   const std::size_t far = BestOfDrawn(now, farther_, slow_start, random);
-  if (IsWorthTheWay(now, near, far, upstreams[far])) {
-    return {&upstreams[far], choice_reason::kSpillOver};
+  if (IsFull(now, seen_[near]) ||
+      IsWorthTheWay(now, near, far, upstreams[far])) {
+    return upstream_choice{&upstreams[far], choice_reason::kSpillOver};
   }
-  return {&upstreams[near], choice_reason::kNear};
+  return upstream_choice{&upstreams[near], choice_reason::kNear};
 }
 
 bool upstream_chooser::IsWorthTheWay(time_point now, std::size_t near,
@@ -278,6 +294,11 @@
                                      const upstream& far_upstream) const {
   const auto distance = static_cast<std::size_t>(DistanceOf(far_upstream));
   if (IsTold(now, seen_[near])) {
+    // What is near and on time is good enough, even if another were sooner.
+    if (CostOf(now, near) <
+        SecondsOf(wish_.objective_left) * kObjectiveShare) {
+      return false;
+    }
     return CostOf(now, far) + SecondsOf(kDistanceCost[distance]) <
            CostOf(now, near);
   }
@@ -322,7 +343,7 @@
   const observations& seen = seen_[index];
   const double failing = 1.0 + kFailureFactor * seen.failure_share;
   if (IsTold(now, seen)) {
-    return (ToldWait(now, seen) + SecondsOf(seen.told_service)) * failing;
+    return (ToldWait(now, seen) + ToldService(seen)) * failing;
   }
   const double latency =
       std::max(SecondsOf(FadedLatency(now, seen)), SecondsOf(kLatencyFloor));
@@ -339,7 +360,11 @@
 bool upstream_chooser::IsTold(time_point now, const observations& seen) const {
   const auto& told = seen.told[IndexOf(wish_.rank)];
   return told.at != time_point{} && now - told.at < kToldTime &&
-         seen.told_service > duration::zero();
+         told.service > duration::zero();
+}
+
+double upstream_chooser::ToldService(const observations& seen) const {
+  return SecondsOf(seen.told[IndexOf(wish_.rank)].service);
 }
 
 double upstream_chooser::ToldWait(time_point now,
@@ -348,7 +373,7 @@
   const double kept =
       std::exp2(-SecondsOf(now - told.at) / SecondsOf(kToldHalfLife));
   return SecondsOf(told.wait) * kept +
-         SecondsOf(seen.told_service) * told.begun_since / seen.told_slots;
+         ToldService(seen) * told.begun_since / seen.told_slots;
 }
 
 bool upstream_chooser::IsFull(time_point now, const observations& seen) const {
--- a/Libraries/LibRouting/upstream_choice.h
+++ b/Libraries/LibRouting/upstream_choice.h
@@ -42,11 +42,15 @@
 /// What is asked of an upstream.
 struct placement_wish {
   request_priority rank = request_priority::kInteractive;
-  /// An upstream that would let the request wait for longer is left out.
+  /// An upstream of another failure domain that would let the request wait for
+  /// longer is left out: asking it in vain costs bytes between the two.
   duration longest_wait = duration::max();
+  /// How long until the answer loses its full worth; 0 or less when it has, or
+  /// when that is not told.
+  duration objective_left{};
 };
 
-/// What an upstream's owner told of its load.
+/// What an upstream's owner told of its load, for requests of one rank.
 struct told_load {
   request_priority rank = request_priority::kInteractive;
   duration wait{};     ///< Until a request of that rank starts.
@@ -109,11 +113,11 @@
     /// By rank; ranks beyond the last share one.
     struct told_wait {
       duration wait{};
+      duration service{};
       time_point at{};
       std::uint32_t begun_since = 0;
     };
     std::array<told_wait, 4> told;
-    duration told_service{};
     std::uint32_t told_slots = 1;
     double failure_share = 0.0;  ///< Of what arrived there; smoothed.
   };
@@ -127,10 +131,10 @@
                          std::span<const upstream> upstreams,
                          std::span<const upstream* const> tried);
   int DistanceOf(const upstream& candidate) const;
-  upstream_choice ChooseAmongCandidates(time_point now,
-                                        std::span<const upstream> upstreams,
-                                        duration slow_start,
-                                        random_source& random);
+  std::optional<upstream_choice> ChooseAmongCandidates(
+      time_point now, std::span<const upstream> upstreams, duration slow_start,
+      random_source& random);
+  void SplitByDistance(time_point now, std::span<const upstream> upstreams);
   std::size_t BestOfDrawn(time_point now,
                           std::span<const std::size_t> candidates,
                           duration slow_start, random_source& random) const;
@@ -139,10 +143,12 @@
   double CostOf(time_point now, std::size_t index) const;
   std::size_t IndexOf(request_priority rank) const;
   bool IsTold(time_point now, const observations& seen) const;
+  double ToldService(const observations& seen) const;
   double ToldWait(time_point now, const observations& seen) const;
   bool IsFull(time_point now, const observations& seen) const;
   bool IsWorthTheWay(time_point now, std::size_t near, std::size_t far,
                      const upstream& far_upstream) const;
+
   duration FadedLatency(time_point now, const observations& seen) const;
   duration MedianLatency();
   bool MayEject(time_point now) const;
--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -13,6 +13,9 @@
 // The patience that a caller is taken to have when its route is not known.
 constexpr std::chrono::seconds kUnknownPatience{2};
 
+// Of so many requests that went as they should, one is logged.
+constexpr std::uint64_t kPlainRequestsALine = 64;
+
 // How a connection goes on after one request.
 enum class next_step : std::uint8_t { kKeep, kCloseGently, kCut };
 
@@ -180,6 +183,39 @@
     state_.decisions.Add({id_, chosen.name, target.name,
                           std::string{result.upstream}, result.why,
                           result.attempts, result.proved, result.cause});
+    Log(chosen, target, result, now);
+  }
+
+  // Requests that went as they should are told now and then, all others always.
+  void Log(const route& chosen, const service& target,
+           const entry_result& result, time_point now) {
+    const bool is_plain = result.answer && result.attempts == 1 &&
+                          !IsServerError(result.answer->message);
+    if (state_.log == nullptr ||
+        (is_plain && worker_.random.Below(kPlainRequestsALine) != 0)) {
+      return;
+    }
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    log_line line{"request-ended"};
+    line.Text("id", id_)
+        .Text("route", chosen.name)
+        .Text("service", target.name)
+        .Text("upstream", result.upstream)
+        .Text("chosen_as", NameOf(result.why))
+        .Number("attempts", result.attempts)
+        .Text("verdict", NameOf(result.proved))
+        .Text("cause", NameOf(result.cause))
+        .Number("status", result.answer ? static_cast<std::int64_t>(
+                                              result.answer->message
+                                                  .result_int())
+                                        : StatusOf(result.cause, result.proved))
+        .Number("taken_ms", duration_cast<milliseconds>(now - begin_).count())
+        .Number("objective_left_ms",
+                duration_cast<milliseconds>(objective_ - now).count())
+        .Number("version", static_cast<std::int64_t>(
+                               snapshot_->Configuration().Version().revision));
+    state_.log->Add(std::move(line));
   }
 
   task<next_step> Refuse(verdict proved, refusal_cause cause) {
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -17,6 +17,8 @@
 constexpr std::chrono::milliseconds kHopMargin{10};
 constexpr int kHopMarginDivisor = 10;
 constexpr std::chrono::milliseconds kMaximumHopIdle{30'000};
+// What an owner with a free slot or nearly so tells as wait.
+constexpr std::chrono::milliseconds kLongestLateWait{10};
 // How many owners are asked for one request. Refusals by owners cost little,
 // but each one takes time that the request could wait elsewhere.
 constexpr std::uint32_t kMostOwnersAsked = 4;
@@ -210,8 +212,14 @@
     const arriving_request arriving{asked_.deadline,
                                     asked_.chosen_route.priority,
                                     asked_.objective};
-    const placement_wish wish{arriving.rank,
-                              LongestWait(now, arriving, duration::zero())};
+    // One that is late anyway waits behind all others; elsewhere it is welcome
+    // only where slots are free.
+    const duration longest_wait =
+        IsLate(now, arriving, duration::zero())
+            ? kLongestLateWait
+            : LongestWait(now, arriving, duration::zero());
+    const placement_wish wish{arriving.rank, longest_wait,
+                              asked_.objective - now};
     auto choice =
         view_.chooser.Choose(now, upstreams_, tried_, target_.limits.slow_start,
                              worker_.random, wish);
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -56,8 +56,8 @@
 class threaded_traffic_server final : public traffic_server {
  public:
   threaded_traffic_server(const traffic_settings& chosen,
-                          const runtime_clock& clock)
-      : state_(chosen, clock) {
+                          const runtime_clock& clock, structured_log* log)
+      : state_(chosen, clock, log) {
     const std::uint32_t threads = std::max<std::uint32_t>(1, chosen.threads);
     for (std::uint32_t index = 0; index < threads; ++index) {
       workers_.push_back(
@@ -204,8 +204,9 @@
 }  // namespace
 
 result<std::unique_ptr<traffic_server>> traffic_server::Start(
-    const traffic_settings& chosen, const runtime_clock& clock) {
-  auto server = std::make_unique<threaded_traffic_server>(chosen, clock);
+    const traffic_settings& chosen, const runtime_clock& clock,
+    structured_log* log) {
+  auto server = std::make_unique<threaded_traffic_server>(chosen, clock, log);
   if (auto started = server->Run(); !started) {
     return tl::unexpected(started.error());
   }
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -13,6 +13,7 @@
 #include "LibRouting/upstream_choice.h"
 #include "LibRouting/verdict.h"
 #include "LibLoad/attempt_outcome.h"
+#include "LibLog/structured_log.h"
 #include "LibTraffic/request_fields.h"
 
 namespace wagtailmount {
@@ -80,9 +81,10 @@
 class traffic_server {
  public:
   /// Starts listening; requests are refused as not run until the first
-  /// Publish(). `clock` must outlive the server.
+  /// Publish(). `clock` must outlive the server, and `log` too if there is one.
   static result<std::unique_ptr<traffic_server>> Start(
-      const traffic_settings& chosen, const runtime_clock& clock);
+      const traffic_settings& chosen, const runtime_clock& clock,
+      structured_log* log = nullptr);
 
   virtual ~traffic_server() = default;
 
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -51,11 +51,13 @@
 
 /// What all traffic threads share.
 struct traffic_state {
-  traffic_state(const traffic_settings& chosen, const runtime_clock& given)
-      : settings(chosen), clock(given), gate(given) {}
+  traffic_state(const traffic_settings& chosen, const runtime_clock& given,
+                structured_log* lines)
+      : settings(chosen), clock(given), log(lines), gate(given) {}
 
   const traffic_settings settings;
   const runtime_clock& clock;
+  structured_log* const log;  ///< May be null.
   std::atomic<std::shared_ptr<const routing_snapshot>> snapshot;
   /// The longest that any configuration so far allowed: a caller may go by an
   /// earlier one.
