LibCatalog: Keep a leaving backend server leaving, whatever is written late

A beat that was written before an upstream's leaving reached the store after it, so the entry said ready again; every node sent requests there until 8.4 s. Change: leaving is remembered by the id of the start, and the owner starts nothing 1.2 s after it.

--- a/Benchmarks/LibTraffic/traffic_policies.cc
+++ b/Benchmarks/LibTraffic/traffic_policies.cc
@@ -18,8 +18,8 @@
 #include <tuple>
 #include <vector>
 
-#include "LibRouting/upstream_choice.h"
 #include "LibLoad/admission.h"
+#include "LibRouting/upstream_choice.h"
 
 namespace {
 
--- a/Libraries/LibCatalog/catalog_feed.cc
+++ b/Libraries/LibCatalog/catalog_feed.cc
@@ -44,8 +44,7 @@
   in_flight_since_ = now;
 }
 
-void catalog_feed::End(time_point now,
-                       const std::optional<error_kind>& failure,
+void catalog_feed::End(time_point now, const std::optional<error_kind>& failure,
                        bool has_changes) {
   const feed_call ended = in_flight_;
   in_flight_ = feed_call::kNone;
--- a/Libraries/LibCatalog/upstream_directory.cc
+++ b/Libraries/LibCatalog/upstream_directory.cc
@@ -12,24 +12,37 @@
 /// admission refuses what would wait for too long; this bounds its memory.
 constexpr std::uint32_t kQueueInSlots = 8;
 
+/// How long a leaving start of a backend server is remembered. Source: many
+/// times the longest that one serves on.
+constexpr std::chrono::minutes kLeavingMemory{5};
+
 std::uint64_t IncarnationOf(const registered_upstream& registered) {
   return std::hash<std::string>{}(registered.record.id);
 }
 
 }  // namespace
 
-void upstream_directory::Update(
-    time_point now, std::span<const registered_upstream> registered,
-    time_point doubt_until) {
-  std::map<std::string, entry, std::less<>> updated;
+void upstream_directory::RememberLeaving(
+    time_point now, std::span<const registered_upstream> registered) {
+  std::erase_if(leaving_since_, [now](const auto& item) {
+    return now - item.second > kLeavingMemory;
+  });
   for (const registered_upstream& each : registered) {
-    entry fresh{each, {}, {}};
-    const auto before = entries_.find(each.record.id);
     if (each.record.is_leaving) {
-      const bool was_leaving = before != entries_.end() &&
-                               before->second.leaving_since != time_point{};
-      fresh.leaving_since = was_leaving ? before->second.leaving_since : now;
+      leaving_since_.emplace(each.record.id, now);
     }
+  }
+}
+
+void upstream_directory::Update(time_point now,
+                                std::span<const registered_upstream> registered,
+                                time_point doubt_until) {
+  RememberLeaving(now, registered);
+  std::map<std::string, entry, std::less<>> updated;
+  for (const registered_upstream& each : registered) {
+    entry fresh{each, {}};
+    fresh.registered.record.is_leaving =
+        leaving_since_.contains(each.record.id);
     updated.emplace(each.record.id, std::move(fresh));
   }
   for (auto& [id, held] : entries_) {
@@ -103,9 +116,8 @@
   const entry* own = nullptr;
   for (const auto& [id, held] : entries_) {
     const upstream_record& record = held.registered.record;
-    const bool is_own =
-        record.backend_server == settings_.own_backend_server &&
-        record.service == settings_.own_service;
+    const bool is_own = record.backend_server == settings_.own_backend_server &&
+                        record.service == settings_.own_service;
     if (is_own &&
         (own == nullptr || own->registered.created < held.registered.created)) {
       own = &held;
@@ -126,7 +138,10 @@
       std::max<std::uint32_t>(1, static_cast<std::uint32_t>(entries_.size()));
   own.limits.queue = own.limits.slots * kQueueInSlots;
   if (const entry* const held = OwnEntry()) {
-    own.leaving_since = held->leaving_since;
+    const auto leaving = leaving_since_.find(held->registered.record.id);
+    if (leaving != leaving_since_.end()) {
+      own.leaving_since = leaving->second;
+    }
   }
   return own;
 }
--- a/Libraries/LibCatalog/upstream_directory.h
+++ b/Libraries/LibCatalog/upstream_directory.h
@@ -59,15 +59,19 @@
  private:
   struct entry {
     registered_upstream registered;
-    time_point leaving_since{};   ///< Zero while it stays.
-    time_point vanishes_at{};     ///< Zero while it is registered.
+    time_point vanishes_at{};  ///< Zero while it is registered.
   };
 
   const entry* OwnEntry() const;
   bool IsSuperseded(const entry& candidate) const;
+  void RememberLeaving(time_point now,
+                       std::span<const registered_upstream> registered);
 
   settings settings_;
   std::map<std::string, entry, std::less<>> entries_;  ///< By id.
+  /// Since when each start of a backend server is known to leave. A late write
+  /// of an earlier state must not bring it back.
+  std::map<std::string, time_point, std::less<>> leaving_since_;
   std::uint32_t last_own_slots_ = 0;
 };
 
--- a/Libraries/LibLink/message.h
+++ b/Libraries/LibLink/message.h
@@ -119,11 +119,11 @@
   std::chrono::milliseconds source_age{0};
 };
 
-using message = std::variant<hello_message, offer_message, pull_message,
-                             manifest_message, files_request_message,
-                             files_message, refusal_message, membership_message,
-                             compare_message, membership_request_message,
-                             catalog_state_message, catalog_request_message,
-                             catalog_update_message>;
+using message =
+    std::variant<hello_message, offer_message, pull_message, manifest_message,
+                 files_request_message, files_message, refusal_message,
+                 membership_message, compare_message,
+                 membership_request_message, catalog_state_message,
+                 catalog_request_message, catalog_update_message>;
 
 }  // namespace wagtailmount
--- a/Libraries/LibLink/message_decoder.cc
+++ b/Libraries/LibLink/message_decoder.cc
@@ -291,9 +291,13 @@
 
 /// The readers in the order of the alternatives of `message`.
 constexpr std::array kReaders = {
-    ReadHello, ReadOffer,   ReadPull,       ReadManifest, ReadFilesRequest,
-    ReadFiles, ReadRefusal, ReadMembership, ReadCompare,  ReadMembershipRequest,
-    ReadCatalogState, ReadCatalogRequest, ReadCatalogUpdate,
+    ReadHello,         ReadOffer,
+    ReadPull,          ReadManifest,
+    ReadFilesRequest,  ReadFiles,
+    ReadRefusal,       ReadMembership,
+    ReadCompare,       ReadMembershipRequest,
+    ReadCatalogState,  ReadCatalogRequest,
+    ReadCatalogUpdate,
 };
 static_assert(kReaders.size() == std::variant_size_v<message>);
 
--- a/Libraries/LibLink/message_encoder.cc
+++ b/Libraries/LibLink/message_encoder.cc
@@ -52,10 +52,10 @@
   const bool has_content = item.content != nullptr;
   return json::array(
       {item.key, item.revision, item.created, item.is_removed ? 1U : 0U,
-       json::binary(has_content ? std::vector<std::uint8_t>(
-                                      item.content->begin(),
-                                      item.content->end())
-                                : std::vector<std::uint8_t>{})});
+       json::binary(has_content
+                        ? std::vector<std::uint8_t>(item.content->begin(),
+                                                    item.content->end())
+                        : std::vector<std::uint8_t>{})});
 }
 
 template <typename T>
--- a/Libraries/LibLoad/admission.cc
+++ b/Libraries/LibLoad/admission.cc
@@ -72,8 +72,7 @@
   duration work = mean_duration_;
   for (const auto& [other, queue] : waiting_) {
     if (other <= key) {
-      work +=
-          DurationOf(other.rank) * static_cast<std::int64_t>(queue.size());
+      work += DurationOf(other.rank) * static_cast<std::int64_t>(queue.size());
     }
   }
   return work / static_cast<std::int64_t>(std::max<std::size_t>(1, Slots()));
@@ -132,8 +131,8 @@
   return false;
 }
 
-std::vector<admission_effect> admission::Finish(time_point now,
-                                                admission_id id, bool has_run) {
+std::vector<admission_effect> admission::Finish(time_point now, admission_id id,
+                                                bool has_run) {
   std::vector<admission_effect> effects;
   const auto found = running_.find(id);
   if (found == running_.end()) {
--- a/Libraries/LibLoad/retry.h
+++ b/Libraries/LibLoad/retry.h
@@ -3,8 +3,8 @@
 #include <string_view>
 
 #include "LibConfig/configuration.h"
-#include "LibRouting/verdict.h"
 #include "LibLoad/attempt_outcome.h"
+#include "LibRouting/verdict.h"
 
 namespace wagtailmount {
 
--- a/Libraries/LibLog/structured_log.h
+++ b/Libraries/LibLog/structured_log.h
@@ -18,7 +18,7 @@
 class structured_log {
  public:
   struct settings {
-    int descriptor = 1;  ///< Standard output.
+    int descriptor = 1;          ///< Standard output.
     std::size_t capacity = 512;  ///< Lines that wait.
     std::size_t lines_a_second = 200;
     std::size_t bytes_a_flush = std::size_t{32} * 1024;
--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -27,7 +27,8 @@
 /// fresh. Source: catalog_feed's staleness, and the time to read.
 constexpr milliseconds kFreshAge{1'400};
 /// How long after a failed call of the platform entries stay that vanish: live
-/// backend servers have registered again by then. Source: two seconds by the platform's word, and a margin.
+/// backend servers have registered again by then. Source: two seconds by the
+/// platform's word, and a margin.
 constexpr milliseconds kDoubt{2'500};
 /// How long a start waits for a confirmation of what a stale listing gave.
 /// Source: a link's handshake or a call, and a margin.
@@ -85,7 +86,8 @@
   PublishIfChanged();
   RequestWhatIsLacking(now);
   SendToPeers(now);
-  const bool is_confirmed = is_fresh_ || now - started_at_ > kLongestConfirmation;
+  const bool is_confirmed =
+      is_fresh_ || now - started_at_ > kLongestConfirmation;
   if (!is_serving_ && in_force_ != nullptr && is_confirmed) {
     is_serving_ = true;
     log_.Add(log_line{"serving"}
@@ -161,19 +163,18 @@
 
 void catalog_control::Watch() {
   ++platform_calls_;
-  source_.Watch(catalog_.CompleteTo(),
-                kWatchWait,
-                [this, after = catalog_.CompleteTo()](
-                    result<catalog_changes> answered) {
-                  if (!answered) {
-                    EndCall(answered.error(), false);
-                    return;
-                  }
-                  const auto changed = catalog_.TakeUpdate(
-                      {after, answered->revision, std::move(answered->items)});
-                  EndCall(std::nullopt, !changed.empty());
-                  TakeChanges(changed);
-                });
+  source_.Watch(
+      catalog_.CompleteTo(), kWatchWait,
+      [this, after = catalog_.CompleteTo()](result<catalog_changes> answered) {
+        if (!answered) {
+          EndCall(answered.error(), false);
+          return;
+        }
+        const auto changed = catalog_.TakeUpdate(
+            {after, answered->revision, std::move(answered->items)});
+        EndCall(std::nullopt, !changed.empty());
+        TakeChanges(changed);
+      });
 }
 
 void catalog_control::EndCall(const std::optional<error>& failure,
@@ -187,8 +188,8 @@
     log_.Add(log_line{"platform-call-failed"}
                  .Text("kind", NameOf(failure->kind))
                  .Text("reason", failure->message)
-                 .Number("complete_to", static_cast<std::int64_t>(
-                                            catalog_.CompleteTo())));
+                 .Number("complete_to",
+                         static_cast<std::int64_t>(catalog_.CompleteTo())));
   } else if (was_failing) {
     log_.Add(log_line{"platform-regained"}.Number(
         "complete_to", static_cast<std::int64_t>(catalog_.CompleteTo())));
@@ -219,31 +220,31 @@
   }
   auto read = format_.read_configuration(*item);
   if (!read) {
-    log_.Add(log_line{"configuration-refused"}
-                 .Text("reason", read.error().message)
-                 .Number("revision", static_cast<std::int64_t>(item->revision)));
+    log_.Add(
+        log_line{"configuration-refused"}
+            .Text("reason", read.error().message)
+            .Number("revision", static_cast<std::int64_t>(item->revision)));
     return;
   }
-  const bool is_older = in_force_ != nullptr &&
-                        (*read)->Version().revision <=
-                            in_force_->Version().revision;
+  const bool is_older =
+      in_force_ != nullptr &&
+      (*read)->Version().revision <= in_force_->Version().revision;
   if (is_older) {
     log_.Add(log_line{"configuration-not-newer"}
-                 .Number("version", static_cast<std::int64_t>(
-                                        (*read)->Version().revision))
+                 .Number("version",
+                         static_cast<std::int64_t>((*read)->Version().revision))
                  .Number("in_force", static_cast<std::int64_t>(
                                          in_force_->Version().revision)));
     return;
   }
   in_force_ = *std::move(read);
   is_snapshot_due_ = true;
-  log_.Add(
-      log_line{"configuration-in-force"}
-          .Number("version",
-                  static_cast<std::int64_t>(in_force_->Version().revision))
-          .Number("revision", static_cast<std::int64_t>(item->revision))
-          .Number("routes", static_cast<std::int64_t>(
-                                in_force_->Routes().size())));
+  log_.Add(log_line{"configuration-in-force"}
+               .Number("version",
+                       static_cast<std::int64_t>(in_force_->Version().revision))
+               .Number("revision", static_cast<std::int64_t>(item->revision))
+               .Number("routes",
+                       static_cast<std::int64_t>(in_force_->Routes().size())));
 }
 
 void catalog_control::TakeUpstreams() {
@@ -253,8 +254,7 @@
        catalog_.ItemsUnder(format_.upstream_prefix)) {
     const auto before = decoded_.find(item->key);
     decoded_upstream read{item->revision, std::nullopt};
-    if (before != decoded_.end() &&
-        before->second.revision == item->revision) {
+    if (before != decoded_.end() && before->second.revision == item->revision) {
       read = before->second;
     } else if (auto record = format_.read_upstream(*item)) {
       read.record = *std::move(record);
@@ -270,12 +270,11 @@
     decoded.emplace(item->key, std::move(read));
   }
   decoded_ = std::move(decoded);
-  const bool is_same =
-      std::equal(registered.begin(), registered.end(), registered_.begin(),
-                 registered_.end(), [](const auto& left, const auto& right) {
-                   return left.created == right.created &&
-                          left.record == right.record;
-                 });
+  const bool is_same = std::equal(
+      registered.begin(), registered.end(), registered_.begin(),
+      registered_.end(), [](const auto& left, const auto& right) {
+        return left.created == right.created && left.record == right.record;
+      });
   if (is_same) {
     return;
   }
@@ -380,8 +379,8 @@
         known.complete_to < complete_to) {
       catalog_update update = catalog_.UpdateAfter(known.complete_to);
       if (!update.items.empty() &&
-          links_.Send(peer, catalog_update_message{std::move(update),
-                                                   AgeToTell()})) {
+          links_.Send(peer,
+                      catalog_update_message{std::move(update), AgeToTell()})) {
         known.complete_to = complete_to;
         continue;
       }
@@ -406,8 +405,8 @@
     }
     const bool is_due =
         known.is_near || now - known.ahead_since >= kRemotePatience;
-    if (is_due && links_.Send(peer, catalog_request_message{
-                                        catalog_.CompleteTo()})) {
+    if (is_due &&
+        links_.Send(peer, catalog_request_message{catalog_.CompleteTo()})) {
       known.ahead_since = now;
       return;
     }
--- a/Libraries/LibNode/catalog_node.cc
+++ b/Libraries/LibNode/catalog_node.cc
@@ -84,8 +84,7 @@
   readiness_ = std::make_unique<readiness>(adapter_.readiness_path, [this] {
     return control_->IsServing() && !is_stopping_;
   });
-  auto asked =
-      admin_server::Create(context_, settings_.readiness, *readiness_);
+  auto asked = admin_server::Create(context_, settings_.readiness, *readiness_);
   if (!asked) {
     return tl::unexpected(asked.error());
   }
@@ -137,8 +136,9 @@
 }
 
 void catalog_node::TakeSignal(int signal) {
-  log_.Add(log_line{"signal"}.Number("signal", signal).Flag("is_stopping",
-                                                            is_stopping_));
+  log_.Add(log_line{"signal"}
+               .Number("signal", signal)
+               .Flag("is_stopping", is_stopping_));
   if (signal == SIGHUP) {
     Reload();
   } else if (is_stopping_) {
@@ -164,8 +164,7 @@
                              read->backend_server != settings_.backend_server ||
                              read->platform != settings_.platform;
   settings_.drain_grace = read->drain_grace;
-  log_.Add(
-      log_line{"settings-reloaded"}.Flag("needs_restart", needs_restart));
+  log_.Add(log_line{"settings-reloaded"}.Flag("needs_restart", needs_restart));
 }
 
 void catalog_node::BeginStop() {
--- a/Libraries/LibNode/settings.cc
+++ b/Libraries/LibNode/settings.cc
@@ -114,8 +114,7 @@
   if (settings.platform.empty()) {
     platform.AddFault("addresses", "must name at least one address");
   }
-  const std::string interface =
-      platform.OptionalText("interface", kFolderWord);
+  const std::string interface = platform.OptionalText("interface", kFolderWord);
   if (interface == kCatalogWord) {
     settings.interface = platform_interface::kCatalog;
   } else if (interface != kFolderWord) {
--- a/Libraries/LibRouting/routing_snapshot.h
+++ b/Libraries/LibRouting/routing_snapshot.h
@@ -22,8 +22,8 @@
   endpoint hop;
   std::uint64_t incarnation = 0;
   bool is_leaving = false;
-  bool is_suspect = false;  ///< Not heard of for a while; used only when
-                            ///< nothing better is left.
+  bool is_suspect = false;        ///< Not heard of for a while; used only when
+                                  ///< nothing better is left.
   std::string backend_server_id;  ///< Of the start that is meant; empty where
                                   ///< the platform gives none.
   std::uint32_t slots = 0;        ///< Its backend server's; 0 when not known.
--- a/Libraries/LibRouting/upstream_choice.cc
+++ b/Libraries/LibRouting/upstream_choice.cc
@@ -248,8 +248,8 @@
                                                          : kOwnRegion;
 }
 
-// Leaves the nearest in `candidates_` and puts the others into `farther_`. Those
-// of other failure domains that are full are in neither.
+// Leaves the nearest in `candidates_` and puts the others into `farther_`.
+// Those of other failure domains that are full are in neither.
 void upstream_chooser::SplitByDistance(time_point now,
                                        std::span<const upstream> upstreams) {
   std::erase_if(candidates_, [&](std::size_t index) {
@@ -295,8 +295,7 @@
   const auto distance = static_cast<std::size_t>(DistanceOf(far_upstream));
   if (IsTold(now, seen_[near])) {
     // What is near and on time is good enough, even if another were sooner.
-    if (CostOf(now, near) <
-        SecondsOf(wish_.objective_left) * kObjectiveShare) {
+    if (CostOf(now, near) < SecondsOf(wish_.objective_left) * kObjectiveShare) {
       return false;
     }
     return CostOf(now, far) + SecondsOf(kDistanceCost[distance]) <
@@ -352,9 +351,9 @@
 }
 
 std::size_t upstream_chooser::IndexOf(request_priority rank) const {
-  return std::min<std::size_t>(static_cast<std::size_t>(rank),
-                               std::tuple_size_v<decltype(observations::told)> -
-                                   1);
+  return std::min<std::size_t>(
+      static_cast<std::size_t>(rank),
+      std::tuple_size_v<decltype(observations::told)> - 1);
 }
 
 bool upstream_chooser::IsTold(time_point now, const observations& seen) const {
--- a/Libraries/LibTraffic/answers.cc
+++ b/Libraries/LibTraffic/answers.cc
@@ -44,8 +44,7 @@
     SetField(message, kRequestIdField, refusal.request_id);
   }
   if (refusal.retry_after.count() > 0) {
-    message.set(http::field::retry_after,
-                SecondsText(refusal.retry_after));
+    message.set(http::field::retry_after, SecondsText(refusal.retry_after));
   }
   if (!refusal.load.empty()) {
     SetField(message, kLoadField, refusal.load);
--- a/Libraries/LibTraffic/answers.h
+++ b/Libraries/LibTraffic/answers.h
@@ -4,8 +4,8 @@
 #include <string_view>
 
 #include "LibBase/random.h"
-#include "LibRouting/verdict.h"
 #include "LibLoad/attempt_outcome.h"
+#include "LibRouting/verdict.h"
 #include "LibTraffic/http_message.h"
 
 /// The answers that this node gives by itself, and the finish of those it
@@ -17,12 +17,12 @@
   unsigned status = 503;
   verdict proved = verdict::kNotRun;
   std::string_view reason;
-  std::string_view request_id;          ///< Empty when there is none.
+  std::string_view request_id;  ///< Empty when there is none.
   /// 0: coming back makes no sense.
   std::chrono::milliseconds retry_after{0};
-  bool is_kept = true;                  ///< Whether the connection stays open.
-  bool is_head = false;                 ///< Answers a HEAD request.
-  std::string_view load;  ///< Of this owner; empty when not told.
+  bool is_kept = true;       ///< Whether the connection stays open.
+  bool is_head = false;      ///< Answers a HEAD request.
+  std::string_view load;     ///< Of this owner; empty when not told.
   bool has_arrived = false;  ///< At a backend server; told to other nodes.
 };
 
--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -1,9 +1,9 @@
+#include "LibLoad/retry.h"
+#include "LibLoad/return_time.h"
 #include "LibTraffic/answers.h"
 #include "LibTraffic/entry.h"
-#include "LibLoad/return_time.h"
 #include "LibTraffic/header_fields.h"
 #include "LibTraffic/request_reading.h"
-#include "LibLoad/retry.h"
 #include "LibTraffic/sessions.h"
 
 namespace wagtailmount::detail {
@@ -206,10 +206,10 @@
         .Number("attempts", result.attempts)
         .Text("verdict", NameOf(result.proved))
         .Text("cause", NameOf(result.cause))
-        .Number("status", result.answer ? static_cast<std::int64_t>(
-                                              result.answer->message
-                                                  .result_int())
-                                        : StatusOf(result.cause, result.proved))
+        .Number("status", result.answer
+                              ? static_cast<std::int64_t>(
+                                    result.answer->message.result_int())
+                              : StatusOf(result.cause, result.proved))
         .Number("taken_ms", duration_cast<milliseconds>(now - begin_).count())
         .Number("objective_left_ms",
                 duration_cast<milliseconds>(objective_ - now).count())
@@ -290,9 +290,9 @@
   http_request_parser parser_;
   std::string id_;
   time_point begin_{};
-  time_point deadline_{};   ///< Zero until the route is known.
+  time_point deadline_{};         ///< Zero until the route is known.
   time_point caller_deadline_{};  ///< Until then the caller may come back.
-  time_point objective_{};  ///< When an answer loses its full worth.
+  time_point objective_{};        ///< When an answer loses its full worth.
   bool is_head_ = false;
 };
 
@@ -305,7 +305,8 @@
   while (next == next_step::kKeep) {
     // NOTE: g++ 12 evaluates a co_await on the right of && in a condition
     // whatever the left side says, so it stands by itself.
-    const bool has_request = co_await AwaitRequest(caller, worker.state.idle_timeout.load());
+    const bool has_request =
+        co_await AwaitRequest(caller, worker.state.idle_timeout.load());
     if (!has_request) {
       break;
     }
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -4,9 +4,9 @@
 #include <string>
 #include <vector>
 
+#include "LibLoad/retry.h"
 #include "LibTraffic/header_fields.h"
 #include "LibTraffic/owner.h"
-#include "LibLoad/retry.h"
 
 namespace wagtailmount::detail {
 
@@ -209,9 +209,8 @@
         result.attempts >= kMostOwnersAsked) {
       return std::nullopt;
     }
-    const arriving_request arriving{asked_.deadline,
-                                    asked_.chosen_route.priority,
-                                    asked_.objective};
+    const arriving_request arriving{
+        asked_.deadline, asked_.chosen_route.priority, asked_.objective};
     // One that is late anyway waits behind all others; elsewhere it is welcome
     // only where slots are free.
     const duration longest_wait =
@@ -252,9 +251,9 @@
     attempt_result ended;
     if (chosen.vm == state_.settings.vm) {
       ended = co_await RunAtBackendServer(
-          worker_, owner_request{asked_.request, watch_, asked_.deadline,
-                                 asked_.chosen_route.priority,
-                                 asked_.objective});
+          worker_,
+          owner_request{asked_.request, watch_, asked_.deadline,
+                        asked_.chosen_route.priority, asked_.objective});
       ended.load = state_.gate.Load(asked_.chosen_route.priority);
     } else {
       ended =
@@ -273,8 +272,7 @@
     result.proved = Combine(result.proved, judged.proved);
     if (!ended.answer) {
       // An earlier answer, if there is one, is better than none.
-      result.cause =
-          result.answer ? refusal_cause::kNone : judged.cause;
+      result.cause = result.answer ? refusal_cause::kNone : judged.cause;
       co_return judged.may_try_again;
     }
     const bool may_be_better = asked_.is_idempotent &&
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -1,8 +1,8 @@
+#include "LibLoad/retry.h"
 #include "LibTraffic/answers.h"
 #include "LibTraffic/header_fields.h"
 #include "LibTraffic/owner.h"
 #include "LibTraffic/request_reading.h"
-#include "LibLoad/retry.h"
 #include "LibTraffic/sessions.h"
 
 namespace wagtailmount::detail {
@@ -11,11 +11,10 @@
 
 // The entry holds callers to the configuration's limits; what another node
 // sends may be a little longer for the fields added there.
-const request_limits kHopLimits{
-    .header_bytes = 128 * 1024,
-    .body_bytes = std::uint64_t{1} << 40U,
-    .header_timeout = std::chrono::seconds{5},
-    .idle_timeout = kIdleHopTimeout};
+const request_limits kHopLimits{.header_bytes = 128 * 1024,
+                                .body_bytes = std::uint64_t{1} << 40U,
+                                .header_timeout = std::chrono::seconds{5},
+                                .idle_timeout = kIdleHopTimeout};
 
 // One request of another node, from its header section to its answer.
 class hop_request {
--- a/Libraries/LibTraffic/http_message.cc
+++ b/Libraries/LibTraffic/http_message.cc
@@ -81,10 +81,9 @@
 }  // namespace
 
 template <bool is_request>
-task<error_code> ReadHeader(
-    http_connection& connection,
-    http::parser<is_request, http::buffer_body>& parser,
-    std::size_t most_bytes) {
+task<error_code> ReadHeader(http_connection& connection,
+                            http::parser<is_request, http::buffer_body>& parser,
+                            std::size_t most_bytes) {
   while (!parser.is_header_done()) {
     if (connection.buffer.size() > 0) {
       const error_code malformed = Parse(connection, parser);
@@ -147,8 +146,7 @@
 template task<error_code> ReadHeader<true>(http_connection&,
                                            http_request_parser&, std::size_t);
 template task<error_code> ReadHeader<false>(http_connection&,
-                                            http_response_parser&,
-                                            std::size_t);
+                                            http_response_parser&, std::size_t);
 template task<body_status> ReadBodyStart<true>(http_connection&,
                                                http_request_parser&,
                                                std::string&);
--- a/Libraries/LibTraffic/http_message.h
+++ b/Libraries/LibTraffic/http_message.h
@@ -45,10 +45,9 @@
 /// Reads a header section of at most `most_bytes`. The connection's expiry must
 /// be set before.
 template <bool is_request>
-task<error_code> ReadHeader(
-    http_connection& connection,
-    http::parser<is_request, http::buffer_body>& parser,
-    std::size_t most_bytes = kMaximumHeaderBytes);
+task<error_code> ReadHeader(http_connection& connection,
+                            http::parser<is_request, http::buffer_body>& parser,
+                            std::size_t most_bytes = kMaximumHeaderBytes);
 
 /// Reads the body into `into` until it ends or kRetainedBodyBytes are held.
 template <bool is_request>
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -2,8 +2,8 @@
 
 #include <string>
 
-#include "LibTraffic/header_fields.h"
 #include "LibLoad/retry.h"
+#include "LibTraffic/header_fields.h"
 
 namespace wagtailmount::detail {
 
@@ -15,6 +15,10 @@
 constexpr std::chrono::milliseconds kMaximumIdleForAnyRequest{4'000};
 constexpr std::chrono::milliseconds kMaximumIdleForNonIdempotent{1'000};
 
+// How long after its leaving is known a backend server still gets what other
+// nodes have sent. Source: less than the least bound of 2 s.
+constexpr std::chrono::milliseconds kLeavingNotice{1'200};
+
 attempt_result Refused(refusal_cause cause) {
   attempt_result refused;
   refused.outcome = attempt_outcome::kRefusedNotRun;
@@ -45,8 +49,8 @@
     return;
   }
   const std::string_view told = FieldOf(result.answer->message, not_run);
-  const bool is_refusal = !told.empty() && told != "false" &&
-                          !IsSuccess(result.answer->message);
+  const bool is_refusal =
+      !told.empty() && told != "false" && !IsSuccess(result.answer->message);
   if (is_refusal) {
     result = Refused(refusal_cause::kShed);
   }
@@ -97,14 +101,28 @@
   }
 }
 
+// Whether the backend server of this VM has been leaving for so long that
+// nothing may start there, whatever other nodes know.
+bool HasLeft(const traffic_state& state) {
+  const auto snapshot = state.snapshot.load();
+  if (snapshot == nullptr || !snapshot->Own()) {
+    return false;
+  }
+  const time_point since = snapshot->Own()->leaving_since;
+  return since != time_point{} && state.clock.Now() - since > kLeavingNotice;
+}
+
 }  // namespace
 
 task<attempt_result> RunAtBackendServer(traffic_worker& worker,
                                         owner_request asked) {
   traffic_state& state = worker.state;
-  gate_reply entered =
-      co_await state.gate.Enter({asked.deadline, asked.priority,
-                                 asked.objective});
+  gate_reply entered = co_await state.gate.Enter(
+      {asked.deadline, asked.priority, asked.objective});
+  if (entered.refused == refusal_cause::kNone && HasLeft(state)) {
+    entered.refused = refusal_cause::kDraining;
+    entered.slot.SetNotRun();
+  }
   if (entered.refused != refusal_cause::kNone) {
     ++state.counters.owner_refused;
     co_return Refused(entered.refused);
@@ -131,12 +149,11 @@
   const request_fields& fields = state.settings.fields;
   PrepareForBackendServer(asked.request.message, fields.backend_deadline,
                           asked.deadline, now);
-  attempt_result result =
-      co_await Exchange(connection, asked.request, asked.deadline, state.clock,
-                        {.id = id_rule::kIfGiven,
-                         .may_end_with_connection =
-                             fields.may_end_with_connection},
-                        asked.watch);
+  attempt_result result = co_await Exchange(
+      connection, asked.request, asked.deadline, state.clock,
+      {.id = id_rule::kIfGiven,
+       .may_end_with_connection = fields.may_end_with_connection},
+      asked.watch);
   if (connection != nullptr) {
     KeepConnection(worker, std::move(connection));
   }
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -111,9 +111,8 @@
       state_.gate.SetLimits(declared->limits);
     }
     const auto idle = snapshot->Configuration().Limits().idle_timeout;
-    state_.idle_timeout = has_snapshot_ ? std::max(state_.idle_timeout.load(),
-                                                   idle)
-                                        : idle;
+    state_.idle_timeout =
+        has_snapshot_ ? std::max(state_.idle_timeout.load(), idle) : idle;
     has_snapshot_ = true;
     state_.snapshot.store(std::move(snapshot));
   }
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -7,13 +7,13 @@
 #include <vector>
 
 #include "LibBase/clock.h"
-#include "LibBase/error.h"
 #include "LibBase/endpoint.h"
+#include "LibBase/error.h"
+#include "LibLoad/attempt_outcome.h"
+#include "LibLog/structured_log.h"
 #include "LibRouting/routing_snapshot.h"
 #include "LibRouting/upstream_choice.h"
 #include "LibRouting/verdict.h"
-#include "LibLoad/attempt_outcome.h"
-#include "LibLog/structured_log.h"
 #include "LibTraffic/request_fields.h"
 
 namespace wagtailmount {
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -8,10 +8,10 @@
 
 #include "LibBase/random.h"
 #include "LibLoad/caller_patience.h"
+#include "LibLoad/retry_budget.h"
 #include "LibTraffic/backend_gate.h"
 #include "LibTraffic/connection_pool.h"
 #include "LibTraffic/decision_log.h"
-#include "LibLoad/retry_budget.h"
 #include "LibTraffic/service_statistics.h"
 #include "LibTraffic/traffic_server.h"
 
--- /dev/null
+++ b/Tests/LibCatalog/test_catalog_feed.cc
@@ -0,0 +1,107 @@
+#include <boost/test/unit_test.hpp>
+
+#include "LibCatalog/catalog_feed.h"
+
+using std::chrono::milliseconds;
+using namespace wagtailmount;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+struct feed_fixture {
+  feed_call Next(std::uint64_t complete_to) {
+    return feed.NextCall(clock.Now(), complete_to);
+  }
+
+  void Call(feed_call call, std::optional<error_kind> failure = std::nullopt) {
+    feed.Begin(clock.Now(), call);
+    clock.Advance(milliseconds{5});
+    feed.End(clock.Now(), failure, false);
+  }
+
+  // A node that listed, and whose peers tell that they are fresh.
+  void BecomeFedFollower() {
+    Call(feed_call::kListStale);
+    feed.HearOfPeer(clock.Now(), milliseconds{0});
+  }
+
+  manual_clock clock;
+  catalog_feed feed{{}, 1};
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(catalog_feed_suite, feed_fixture)
+
+BOOST_AUTO_TEST_CASE(AStartListsCheaplyAndThenWaitsForItsPeers) {
+  BOOST_TEST((Next(0) == feed_call::kListStale));
+  Call(feed_call::kListStale);
+  BOOST_TEST((Next(7) == feed_call::kNone));
+  BOOST_TEST(!feed.Age(clock.Now()));
+  clock.Advance(milliseconds{700});
+  BOOST_TEST((Next(7) == feed_call::kWatch));
+}
+
+BOOST_AUTO_TEST_CASE(AReaderWatchesAllTheTime) {
+  feed.SetReader(true);
+  Call(feed_call::kListStale);
+  BOOST_TEST((Next(7) == feed_call::kWatch));
+  Call(feed_call::kWatch);
+  BOOST_TEST((Next(7) == feed_call::kWatch));
+}
+
+BOOST_AUTO_TEST_CASE(AFollowerReadsOnlyWhileNoPeerFeedsIt) {
+  BecomeFedFollower();
+  BOOST_TEST((Next(7) == feed_call::kNone));
+  clock.Advance(milliseconds{1'100});
+  BOOST_TEST((Next(7) == feed_call::kWatch));
+  // Its own read does not make it rely on peers that are silent.
+  Call(feed_call::kWatch);
+  BOOST_TEST((Next(7) == feed_call::kWatch));
+  feed.HearOfPeer(clock.Now(), milliseconds{200});
+  BOOST_TEST((Next(7) == feed_call::kNone));
+}
+
+BOOST_AUTO_TEST_CASE(OldNewsOfAPeerDoNotFeed) {
+  BecomeFedFollower();
+  clock.Advance(milliseconds{1'100});
+  feed.HearOfPeer(clock.Now(), milliseconds{1'500});
+  BOOST_TEST((Next(7) == feed_call::kWatch));
+}
+
+BOOST_AUTO_TEST_CASE(AForgottenHistoryIsListedWholeAtOnce) {
+  feed.SetReader(true);
+  Call(feed_call::kListStale);
+  Call(feed_call::kWatch, error_kind::kConflict);
+  BOOST_TEST((Next(7) == feed_call::kList));
+  BOOST_TEST(!feed.IsFailing());
+}
+
+BOOST_AUTO_TEST_CASE(FailedCallsArePutOffFurtherAndFurther) {
+  feed.SetReader(true);
+  Call(feed_call::kListStale);
+  int calls = 0;
+  for (int step = 0; step < 1'000; ++step) {
+    if (Next(7) != feed_call::kNone) {
+      ++calls;
+      Call(feed_call::kWatch, error_kind::kUnavailable);
+    }
+    clock.Advance(milliseconds{10});
+  }
+  // Ten seconds of an outage cost a reader no more than some 35 calls.
+  BOOST_TEST(calls > 15);
+  BOOST_TEST(calls < 40);
+  BOOST_TEST(feed.FailedAt().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AWatchInFlightVouchesOnlyAsLongAsItMayWait) {
+  feed.SetReader(true);
+  Call(feed_call::kListStale);
+  Call(feed_call::kWatch);
+  feed.Begin(clock.Now(), feed_call::kWatch);
+  clock.Advance(milliseconds{1'000});
+  BOOST_TEST((*feed.Age(clock.Now()) == milliseconds{0}));
+  clock.Advance(milliseconds{1'000});
+  BOOST_TEST((*feed.Age(clock.Now()) >= milliseconds{2'000}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibCatalog/test_upstream_directory.cc
@@ -0,0 +1,118 @@
+#include <boost/test/unit_test.hpp>
+
+#include "LibCatalog/upstream_directory.h"
+
+using std::chrono::milliseconds;
+using namespace wagtailmount;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+registered_upstream Registered(std::string id, std::string address,
+                               std::uint64_t created = 1) {
+  registered_upstream made;
+  made.record.id = std::move(id);
+  made.record.service = "ledger";
+  made.record.backend_server = {std::move(address), 9000};
+  made.record.failure_domain = "hall";
+  made.record.slots = 18;
+  made.created = created;
+  return made;
+}
+
+registered_upstream Leaving(registered_upstream from) {
+  from.record.is_leaving = true;
+  return from;
+}
+
+struct directory_fixture {
+  void Update(const std::vector<registered_upstream>& registered,
+              milliseconds doubt = milliseconds{0}) {
+    directory.Update(clock.Now(), registered, clock.Now() + doubt);
+  }
+
+  std::vector<upstream> Ledger() const {
+    const auto all = directory.Upstreams();
+    return all.empty() ? std::vector<upstream>{} : all.front()->upstreams;
+  }
+
+  manual_clock clock;
+  upstream_directory directory{{.own_backend_server = {"10.0.0.1", 9000},
+                                .own_service = "ledger",
+                                .region = "pk",
+                                .hop_port = 7000}};
+};
+
+}  // namespace
+
+BOOST_FIXTURE_TEST_SUITE(upstream_directory_suite, directory_fixture)
+
+BOOST_AUTO_TEST_CASE(AnUpstreamIsReachedByTheNodeBesideIt) {
+  Update({Registered("i-1", "10.0.0.2")});
+  BOOST_REQUIRE(Ledger().size() == 1U);
+  BOOST_TEST(Ledger()[0].hop.ToText() == "10.0.0.2:7000");
+  BOOST_TEST(Ledger()[0].backend_server_id == "i-1");
+}
+
+// A beat written before the leaving and stored after it (qsr fresh-d77a).
+BOOST_AUTO_TEST_CASE(ALateWriteOfAnEarlierStateDoesNotBringALeavingOneBack) {
+  Update({Registered("i-1", "10.0.0.1")});
+  Update({Leaving(Registered("i-1", "10.0.0.1"))});
+  const time_point since = clock.Now();
+  clock.Advance(milliseconds{1'400});
+  Update({Registered("i-1", "10.0.0.1")});
+  BOOST_TEST(Ledger()[0].is_leaving);
+  BOOST_TEST((directory.Own({}).leaving_since == since));
+  Update({});
+  Update({Registered("i-1", "10.0.0.1")});
+  BOOST_TEST(Ledger()[0].is_leaving);
+}
+
+// Entries lapse while the platform is away, and come back soon after it.
+BOOST_AUTO_TEST_CASE(AVanishedEntryStaysOnlyWhileThereIsDoubt) {
+  Update({Registered("i-1", "10.0.0.2"), Registered("i-2", "10.0.0.3")});
+  Update({Registered("i-2", "10.0.0.3")}, milliseconds{2'500});
+  BOOST_TEST(Ledger().size() == 2U);
+  clock.Advance(milliseconds{2'400});
+  BOOST_TEST(!directory.Expire(clock.Now()));
+  clock.Advance(milliseconds{200});
+  BOOST_TEST(directory.Expire(clock.Now()));
+  BOOST_TEST(Ledger().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(WithoutDoubtAVanishedEntryGoesAtOnce) {
+  Update({Registered("i-1", "10.0.0.2")});
+  Update({});
+  BOOST_TEST(Ledger().empty());
+}
+
+BOOST_AUTO_TEST_CASE(ALeavingEntryThatVanishesIsNotDoubted) {
+  Update({Leaving(Registered("i-1", "10.0.0.2"))});
+  Update({}, milliseconds{2'500});
+  BOOST_TEST(Ledger().empty());
+}
+
+BOOST_AUTO_TEST_CASE(OfTwoStartsAtOneAddressTheLaterOneCounts) {
+  Update(
+      {Registered("i-old", "10.0.0.2", 3), Registered("i-new", "10.0.0.2", 9)});
+  BOOST_REQUIRE(Ledger().size() == 1U);
+  BOOST_TEST(Ledger()[0].backend_server_id == "i-new");
+}
+
+// An entry of the address' former service is not this VM's (qsr trouble-2).
+BOOST_AUTO_TEST_CASE(TheSettingsNameTheOwnService) {
+  auto former = Registered("i-1", "10.0.0.1");
+  former.record.service = "casefile";
+  former.record.slots = 5;
+  Update({former});
+  BOOST_TEST(directory.Own({}).service == "ledger");
+  BOOST_TEST(directory.Own({}).limits.slots == upstream_limits{}.slots);
+}
+
+BOOST_AUTO_TEST_CASE(NeighboursAreThoseThatStay) {
+  Update(
+      {Registered("i-1", "10.0.0.2"), Leaving(Registered("i-2", "10.0.0.3"))});
+  BOOST_REQUIRE(directory.Neighbours().size() == 1U);
+  BOOST_TEST(directory.Neighbours()[0].vm == "10.0.0.2");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibLoad/test_load_patterns.cc
@@ -0,0 +1,221 @@
+// Replays load patterns against the admission of one owner in stepped time.
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "LibBase/random.h"
+#include "LibLoad/admission.h"
+
+using std::chrono::milliseconds;
+using namespace wagtailmount;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr auto kUrgent = static_cast<request_priority>(1);
+constexpr auto kUsual = static_cast<request_priority>(2);
+
+struct pattern {
+  double arrivals_a_second = 100.0;
+  double urgent_share = 0.25;
+  milliseconds service{160};
+  double service_spread = 0.3;  ///< As a share of the mean, evenly spread.
+  milliseconds objective{500};
+  milliseconds deadline{1'500};
+  std::uint32_t slots = 18;
+  /// Refused callers come back once, after so long; 0: they don't.
+  milliseconds return_after{0};
+};
+
+struct outcome_counts {
+  int asked = 0;
+  int on_time = 0;
+  int late = 0;
+  int refused = 0;
+
+  double OnTimeShare() const { return 1.0 * on_time / std::max(1, asked); }
+  double ServedShare() const {
+    return 1.0 * (on_time + late) / std::max(1, asked);
+  }
+};
+
+// One owner and its callers, in steps of a millisecond.
+class owner_replay {
+ public:
+  owner_replay(const pattern& chosen, std::uint64_t seed)
+      : pattern_(chosen), random_(seed) {
+    upstream_limits limits;
+    limits.slots = chosen.slots;
+    limits.queue = 8 * chosen.slots;
+    admission_.SetLimits(limits);
+  }
+
+  void Run(milliseconds length) {
+    for (milliseconds passed{0}; passed < length; passed += milliseconds{1}) {
+      clock_.Advance(milliseconds{1});
+      FinishWhatIsDone();
+      LetReturn();
+      const double chance = pattern_.arrivals_a_second / 1'000.0;
+      if (random_.Fraction() < chance) {
+        const bool is_urgent = random_.Fraction() < pattern_.urgent_share;
+        const caller asking{is_urgent ? kUrgent : kUsual, clock_.Now(), false};
+        ++counts_[asking.rank].asked;
+        Ask(asking);
+      }
+    }
+  }
+
+  const outcome_counts& Of(request_priority rank) { return counts_[rank]; }
+  int Overrun() const { return overrun_; }
+
+ private:
+  struct caller {
+    request_priority rank;
+    time_point began;
+    bool has_returned;
+  };
+
+  void Ask(const caller& asking) {
+    const auto reply = admission_.Arrive(
+        clock_.Now(), {asking.began + pattern_.deadline, asking.rank,
+                       asking.began + pattern_.objective});
+    Apply(reply.effects);
+    if (reply.decided == admission_reply::kind::kRefused) {
+      Refuse(asking);
+      return;
+    }
+    callers_[reply.id] = asking;
+    if (reply.decided == admission_reply::kind::kStart) {
+      Start(reply.id);
+    }
+  }
+
+  void Start(admission_id id) {
+    const double spread =
+        1.0 + pattern_.service_spread * (2.0 * random_.Fraction() - 1.0);
+    const auto taken = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>(
+            static_cast<double>(pattern_.service.count()) * spread));
+    done_at_.emplace(clock_.Now() + taken, id);
+    overrun_ = std::max(overrun_, static_cast<int>(done_at_.size()) -
+                                      static_cast<int>(pattern_.slots));
+  }
+
+  void FinishWhatIsDone() {
+    while (!done_at_.empty() && done_at_.begin()->first <= clock_.Now()) {
+      const admission_id id = done_at_.begin()->second;
+      done_at_.erase(done_at_.begin());
+      const caller& asked = callers_[id];
+      const duration taken = clock_.Now() - asked.began;
+      ++(taken <= pattern_.objective ? counts_[asked.rank].on_time
+                                     : counts_[asked.rank].late);
+      callers_.erase(id);
+      Apply(admission_.Finish(clock_.Now(), id));
+    }
+  }
+
+  void Apply(const std::vector<admission_effect>& effects) {
+    for (const admission_effect& effect : effects) {
+      if (effect.refused == refusal_cause::kNone) {
+        Start(effect.id);
+      } else {
+        const caller asked = callers_[effect.id];
+        callers_.erase(effect.id);
+        Refuse(asked);
+      }
+    }
+  }
+
+  void Refuse(caller asked) {
+    if (pattern_.return_after > milliseconds{0} && !asked.has_returned) {
+      asked.has_returned = true;
+      returning_.emplace(clock_.Now() + pattern_.return_after, asked);
+      return;
+    }
+    ++counts_[asked.rank].refused;
+  }
+
+  void LetReturn() {
+    while (!returning_.empty() && returning_.begin()->first <= clock_.Now()) {
+      const caller asking = returning_.begin()->second;
+      returning_.erase(returning_.begin());
+      Ask(asking);
+    }
+  }
+
+  pattern pattern_;
+  random_source random_;
+  manual_clock clock_;
+  admission admission_;
+  std::map<admission_id, caller> callers_;
+  std::multimap<time_point, admission_id> done_at_;
+  std::multimap<time_point, caller> returning_;
+  std::map<request_priority, outcome_counts> counts_;
+  int overrun_ = 0;
+};
+
+// 18 slots of 160 ms carry 112 requests a second.
+constexpr double kCapacity = 112.5;
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(load_patterns_suite)
+
+BOOST_AUTO_TEST_CASE(BelowCapacityNothingIsRefused) {
+  owner_replay replay{{.arrivals_a_second = 0.75 * kCapacity}, 1};
+  replay.Run(milliseconds{30'000});
+  BOOST_TEST(replay.Of(kUsual).ServedShare() > 0.99);
+  BOOST_TEST(replay.Of(kUsual).OnTimeShare() > 0.98);
+}
+
+// A burst of 1.7 times: the slots stay full of work that is on time.
+BOOST_AUTO_TEST_CASE(ABurstIsServedOnTimeUpToCapacity) {
+  owner_replay replay{{.arrivals_a_second = 1.7 * kCapacity}, 2};
+  replay.Run(milliseconds{20'000});
+  const outcome_counts& urgent = replay.Of(kUrgent);
+  const outcome_counts& usual = replay.Of(kUsual);
+  const double whole = urgent.on_time + usual.on_time;
+  BOOST_TEST(whole > 0.93 * kCapacity * 20.0);
+  // What is urgent is served first, and almost whole.
+  BOOST_TEST(urgent.OnTimeShare() > 0.95);
+  BOOST_TEST(usual.late < 0.06 * usual.asked);
+  BOOST_TEST(replay.Overrun() <= 0);
+}
+
+// Callers that come back past their objective make no fresh one late.
+BOOST_AUTO_TEST_CASE(ThoseThatComeBackFillTheGaps) {
+  pattern once{.arrivals_a_second = 1.4 * kCapacity};
+  pattern returning = once;
+  returning.return_after = milliseconds{600};
+  owner_replay without{once, 3};
+  owner_replay with{returning, 3};
+  without.Run(milliseconds{20'000});
+  with.Run(milliseconds{20'000});
+  BOOST_TEST(with.Of(kUsual).on_time > 0.93 * without.Of(kUsual).on_time);
+}
+
+BOOST_AUTO_TEST_CASE(AfterABurstThoseThatComeBackAreServed) {
+  owner_replay replay{
+      {.arrivals_a_second = 0.7 * kCapacity, .return_after = milliseconds{600}},
+      4};
+  replay.Run(milliseconds{20'000});
+  BOOST_TEST(replay.Of(kUsual).ServedShare() > 0.99);
+}
+
+// An upstream five times slower serves a fifth, and refuses the rest at once
+// instead of making it late.
+BOOST_AUTO_TEST_CASE(ASlowUpstreamAcceptsLess) {
+  owner_replay replay{{.arrivals_a_second = 0.75 * kCapacity,
+                       .service = milliseconds{800},
+                       .objective = milliseconds{1'200},
+                       .deadline = milliseconds{4'000}},
+                      5};
+  replay.Run(milliseconds{30'000});
+  const outcome_counts& usual = replay.Of(kUsual);
+  const outcome_counts& urgent = replay.Of(kUrgent);
+  BOOST_TEST(usual.late + urgent.late <
+             0.15 * (usual.on_time + urgent.on_time));
+  BOOST_TEST(usual.on_time + urgent.on_time > 0.85 * 22.5 * 30.0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibLoad/test_return.cc
@@ -0,0 +1,43 @@
+#include <boost/test/unit_test.hpp>
+#include <set>
+
+#include "LibLoad/caller_patience.h"
+#include "LibLoad/return_time.h"
+
+using std::chrono::milliseconds;
+using namespace wagtailmount;  // NOLINT(google-build-using-namespace)
+
+BOOST_AUTO_TEST_SUITE(return_suite)
+
+BOOST_AUTO_TEST_CASE(ACallerIsToldToComeBackWithinAThirdOfItsTime) {
+  random_source random{1};
+  std::set<std::int64_t> told;
+  for (int count = 0; count < 200; ++count) {
+    const milliseconds after = ReturnAfter(milliseconds{3'000}, random);
+    BOOST_TEST((after <= milliseconds{1'000}));
+    BOOST_TEST((after >= milliseconds{500}));
+    told.insert(after.count());
+  }
+  // Callers refused together do not return together.
+  BOOST_TEST(told.size() > 100U);
+}
+
+BOOST_AUTO_TEST_CASE(WithoutTimeComingBackMakesNoSense) {
+  random_source random{1};
+  BOOST_TEST((ReturnAfter(milliseconds{90}, random) == milliseconds{0}));
+  BOOST_TEST((ReturnAfter(milliseconds{-5}, random) == milliseconds{0}));
+}
+
+BOOST_AUTO_TEST_CASE(CallersThatComeBackAreToldByTheTimeTheyHaveLeft) {
+  caller_patience patience;
+  BOOST_TEST(
+      (patience.WaitedBefore("a", milliseconds{2'500}) == milliseconds{0}));
+  BOOST_TEST(
+      (patience.WaitedBefore("a", milliseconds{1'700}) == milliseconds{800}));
+  BOOST_TEST(
+      (patience.WaitedBefore("b", milliseconds{400}) == milliseconds{0}));
+  BOOST_TEST(
+      (patience.WaitedBefore("a", milliseconds{2'500}) == milliseconds{0}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
