LibNode: Tell metrics as text, end connections that went silent, and share the fleet's retries between nodes

Cause: 12 nodes each held 20 retries in store, 240 where the fleet may spend 64; connections that go silent without a reset held requests to their deadline; there were no metrics. Ruled out: a budget shared by message, since each entry's own requests tell its part. Change: the part of share and slack by fleet size, a bound on unacknowledged bytes, counters and latency histograms on the admin address. Before: no test of the fleet's sum.

--- a/Libraries/LibAdmin/admin_server.cc
+++ b/Libraries/LibAdmin/admin_server.cc
@@ -36,12 +36,17 @@
 admin_response MakeResponse(const admin_answer& answer, unsigned version,
                             bool keeps_alive) {
   admin_response response{static_cast<http::status>(answer.status), version};
-  response.set(http::field::content_type, "application/json");
+  response.set(http::field::content_type,
+               answer.text.empty() ? "application/json"
+                                   : "text/plain; version=0.0.4");
   response.set(http::field::cache_control, "no-store");
   response.keep_alive(keeps_alive);
-  response.body() = answer.body.dump(-1, ' ', false,
-                                     nlohmann::json::error_handler_t::replace) +
-                    "\n";
+  response.body() =
+      answer.text.empty()
+          ? answer.body.dump(-1, ' ', false,
+                             nlohmann::json::error_handler_t::replace) +
+                "\n"
+          : answer.text;
   response.prepare_payload();
   return response;
 }
--- a/Libraries/LibAdmin/admin_server.h
+++ b/Libraries/LibAdmin/admin_server.h
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <string>
 #include <string_view>
 
 #include "LibBase/endpoint.h"
@@ -20,6 +21,7 @@
 struct admin_answer {
   unsigned status = 200;
   nlohmann::json body;
+  std::string text{};  ///< If not empty, the body is this plain text.
 };
 
 /// The answer to a call that can't be taken: {"error": {"reason": ...}}.
--- a/Libraries/LibNode/catalog_admin.cc
+++ b/Libraries/LibNode/catalog_admin.cc
@@ -1,5 +1,8 @@
 #include "LibNode/catalog_admin.h"
 
+#include "LibNode/metrics_text.h"
+#include "LibNode/traffic_report.h"
+
 namespace wagtailmount {
 
 using nlohmann::json;
@@ -26,12 +29,18 @@
 }  // namespace
 
 admin_answer catalog_admin::Answer(const admin_call& call) {
+  if (call.path == "/metrics") {
+    return {kOk, {}, MetricsText(control_, traffic_, log_.Dropped())};
+  }
+  if (call.path == "/v1/decisions") {
+    return {kOk, DecisionsReport(traffic_), {}};
+  }
   if (call.path != "/v1/status") {
     return AdminError(kNotFound, "no such path; see docs/ADMIN-API.md");
   }
   json report = StatusOf(control_);
   report["in_flight"] = traffic_.Counters().in_flight;
-  return {kOk, std::move(report)};
+  return {kOk, std::move(report), {}};
 }
 
 admin_answer readiness::Answer(const admin_call& call) {
@@ -39,7 +48,7 @@
     return AdminError(kNotFound, "no such path");
   }
   const bool is_ready = is_ready_();
-  return {is_ready ? kOk : kUnavailable, {{"is_ready", is_ready}}};
+  return {is_ready ? kOk : kUnavailable, {{"is_ready", is_ready}}, {}};
 }
 
 }  // namespace wagtailmount
--- a/Libraries/LibNode/catalog_admin.h
+++ b/Libraries/LibNode/catalog_admin.h
@@ -13,14 +13,16 @@
 class catalog_admin final : public admin_handler {
  public:
   /// All references must outlive the object.
-  catalog_admin(const catalog_control& control, const traffic_server& traffic)
-      : control_(control), traffic_(traffic) {}
+  catalog_admin(const catalog_control& control, const traffic_server& traffic,
+                const structured_log& log)
+      : control_(control), traffic_(traffic), log_(log) {}
 
   admin_answer Answer(const admin_call& call) override;
 
  private:
   const catalog_control& control_;
   const traffic_server& traffic_;
+  const structured_log& log_;
 };
 
 /// Answers the platform's question whether this node takes callers.
--- a/Libraries/LibNode/catalog_node.cc
+++ b/Libraries/LibNode/catalog_node.cc
@@ -51,7 +51,9 @@
                              .backend_server = settings_.backend_server,
                              .threads = settings_.traffic_threads,
                              .seed = seed,
-                             .fields = adapter_.fields},
+                             .fields = adapter_.fields,
+                             .retries = {.share = settings_.retry_share,
+                                         .slack = settings_.retry_slack}},
                             clock_, &log_);
   if (!traffic) {
     return tl::unexpected(traffic.error());
@@ -75,7 +77,7 @@
   }
   hub_ = *std::move(hub);
   control_->UseHub(*hub_);
-  admin_ = std::make_unique<catalog_admin>(*control_, *traffic_);
+  admin_ = std::make_unique<catalog_admin>(*control_, *traffic_, log_);
   auto admin = admin_server::Create(context_, settings_.admin, *admin_);
   if (!admin) {
     return tl::unexpected(admin.error());
--- /dev/null
+++ b/Libraries/LibNode/metrics_text.cc
@@ -0,0 +1,95 @@
+#include "LibNode/metrics_text.h"
+
+#include <array>
+#include <string_view>
+
+namespace wagtailmount {
+
+namespace {
+
+struct named_counter {
+  std::string_view name;
+  std::uint64_t traffic_counters::*value;
+};
+
+constexpr std::array<named_counter, 12> kTrafficCounters{{
+    {"requests_total", &traffic_counters::requests},
+    {"answered_ran_total", &traffic_counters::answered_ran},
+    {"answered_may_have_run_total", &traffic_counters::answered_may_have_run},
+    {"answered_not_run_total", &traffic_counters::answered_not_run},
+    {"bad_requests_total", &traffic_counters::bad_requests},
+    {"attempts_total", &traffic_counters::attempts},
+    {"retries_total", &traffic_counters::retries},
+    {"retries_over_budget_total", &traffic_counters::retries_over_budget},
+    {"owner_admitted_total", &traffic_counters::owner_admitted},
+    {"owner_refused_total", &traffic_counters::owner_refused},
+    {"late_answers_dropped_total", &traffic_counters::late_answers_dropped},
+    {"in_flight", &traffic_counters::in_flight},
+}};
+
+void AddLine(std::string& text, std::string_view name, std::string_view labels,
+             std::int64_t value) {
+  text += "wagtailmount_";
+  text += name;
+  text += labels;
+  text += ' ';
+  text += std::to_string(value);
+  text += '\n';
+}
+
+void AddHistogram(std::string& text, const service_counts& counts) {
+  const std::string service = "service=\"" + counts.service + "\"";
+  std::uint64_t below = 0;
+  for (std::size_t at = 0; at < counts.latency_counts.size(); ++at) {
+    below += counts.latency_counts[at];
+    const std::string bound =
+        at < kLatencyBuckets.size()
+            ? std::to_string(kLatencyBuckets[at].count())
+            : "+Inf";
+    AddLine(text, "latency_ms_bucket",
+            "{" + service + ",le=\"" + bound + "\"}",
+            static_cast<std::int64_t>(below));
+  }
+  AddLine(text, "latency_ms_count", "{" + service + "}",
+          static_cast<std::int64_t>(below));
+  AddLine(text, "latency_ms_sum", "{" + service + "}",
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              counts.latency_sum)
+              .count());
+  AddLine(text, "service_failed_total", "{" + service + "}",
+          static_cast<std::int64_t>(counts.failed));
+}
+
+}  // namespace
+
+std::string MetricsText(const catalog_control& control,
+                        const traffic_server& traffic,
+                        std::uint64_t dropped_log_lines) {
+  std::string text;
+  const traffic_counters counters = traffic.Counters();
+  for (const named_counter& each : kTrafficCounters) {
+    AddLine(text, each.name, "",
+            static_cast<std::int64_t>(counters.*each.value));
+  }
+  const auto& in_force = control.InForce();
+  const auto age = control.SourceAge();
+  const auto number = [](std::uint64_t value) {
+    return static_cast<std::int64_t>(value);
+  };
+  AddLine(text, "version", "",
+          in_force == nullptr ? 0 : number(in_force->Version().revision));
+  AddLine(text, "catalog_complete_to", "", number(control.CompleteTo()));
+  AddLine(text, "catalog_age_ms", "", age ? age->count() : -1);
+  AddLine(text, "is_reader", "", control.IsReader() ? 1 : 0);
+  AddLine(text, "peers", "", number(control.PeerCount()));
+  AddLine(text, "platform_calls_total", "", number(control.PlatformCalls()));
+  AddLine(text, "platform_failures_total", "",
+          number(control.PlatformFailures()));
+  AddLine(text, "log_lines_dropped_total", "", number(dropped_log_lines));
+  for (const service_counts& each : traffic.ServiceCounts()) {
+    AddHistogram(text, each);
+  }
+  return text;
+}
+
+}  // namespace wagtailmount
--- a/Libraries/LibNode/node.cc
+++ b/Libraries/LibNode/node.cc
@@ -42,7 +42,8 @@
                              .backend_server = settings_.backend_server,
                              .threads = settings_.traffic_threads,
                              .seed = seed,
-                             .fields = {}},
+                             .fields = {},
+                             .retries = {}},
                             clock_);
   if (!traffic) {
     return tl::unexpected(traffic.error());
--- a/Libraries/LibNode/settings.cc
+++ b/Libraries/LibNode/settings.cc
@@ -184,7 +184,7 @@
   ReadDrainGraceText(root, settings);
   ReadRetryBudget(root, settings, faults);
   if (settings.interface == platform_interface::kCatalog &&
-      settings.readiness.port == 0 && !root.Has("readiness")) {
+      settings.readiness.address.empty()) {
     root.AddFault("listen", "needs \"readiness\" with a catalog");
   }
   settings.join_wait = std::chrono::milliseconds(root.OptionalNumber(
--- a/Libraries/LibTraffic/connection_pool.cc
+++ b/Libraries/LibTraffic/connection_pool.cc
@@ -1,9 +1,21 @@
 #include "LibTraffic/connection_pool.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <boost/asio/this_coro.hpp>
 
 namespace wagtailmount::detail {
 
+namespace {
+
+/// Bytes that the peer does not acknowledge for so long end the connection.
+/// Source: several retransmissions on a lossy link, well below deadlines.
+constexpr unsigned kUnacknowledgedTimeoutMilliseconds = 1'000;
+
+}  // namespace
+
 std::unique_ptr<http_connection> connection_pool::Take(const endpoint& target,
                                                        time_point now,
                                                        duration maximum_idle) {
@@ -55,6 +67,10 @@
   }
   connection->stream.socket().set_option(boost::asio::ip::tcp::no_delay{true},
                                          failure);
+  // A connection may go silent for good without a reset, while new ones work.
+  const unsigned timeout = kUnacknowledgedTimeoutMilliseconds;
+  setsockopt(connection->stream.socket().native_handle(), IPPROTO_TCP,
+             TCP_USER_TIMEOUT, &timeout, sizeof timeout);
   co_return connection;
 }
 
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -168,6 +168,10 @@
     if (asked_.request.rest == nullptr) {
       watch_.Start();
     }
+    const fleet_retry_limits& limits = state_.settings.retries;
+    if (limits.share > 0.0 && asked_.snapshot.Own()) {
+      view_.budget.SetLimits(limits, asked_.snapshot.Own()->fleet_size);
+    }
     view_.budget.Earn(asked_.chosen_route.retry->budget_share);
     entry_result result;
     result.cause = refusal_cause::kNoUpstream;
--- a/Libraries/LibTraffic/service_statistics.cc
+++ b/Libraries/LibTraffic/service_statistics.cc
@@ -1,5 +1,6 @@
 #include "LibTraffic/service_statistics.h"
 
+#include <algorithm>
 #include <array>
 
 namespace wagtailmount::detail {
@@ -51,6 +52,12 @@
   ++of.counts.requests;
   of.counts.failed += is_failed ? 1 : 0;
   of.counts.slow += taken > asked.level.latency ? 1 : 0;
+  const auto bucket =
+      std::lower_bound(kLatencyBuckets.begin(), kLatencyBuckets.end(), taken);
+  ++of.counts.latency_counts[static_cast<std::size_t>(
+      bucket - kLatencyBuckets.begin())];
+  of.counts.latency_sum +=
+      std::chrono::duration_cast<std::chrono::microseconds>(taken);
   ++of.samples;
   of.quantiles(std::chrono::duration<double, std::micro>(taken).count());
 }
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <memory>
@@ -10,6 +11,7 @@
 #include "LibBase/endpoint.h"
 #include "LibBase/error.h"
 #include "LibLoad/attempt_outcome.h"
+#include "LibLoad/retry_budget.h"
 #include "LibLog/structured_log.h"
 #include "LibRouting/routing_snapshot.h"
 #include "LibRouting/upstream_choice.h"
@@ -30,6 +32,7 @@
   std::uint32_t threads = 1;
   std::uint64_t seed = 1;
   request_fields fields;
+  fleet_retry_limits retries;  ///< Share 0: the routes' own policies decide.
 };
 
 /// Counts since the start of the process; they only rise.
@@ -51,6 +54,14 @@
   std::uint64_t in_flight = 0;  ///< Now, not since the start.
 };
 
+/// The upper bounds of the latency histogram's buckets.
+inline constexpr std::array<std::chrono::milliseconds, 10> kLatencyBuckets{
+    std::chrono::milliseconds{10},   std::chrono::milliseconds{25},
+    std::chrono::milliseconds{50},   std::chrono::milliseconds{100},
+    std::chrono::milliseconds{250},  std::chrono::milliseconds{500},
+    std::chrono::milliseconds{1000}, std::chrono::milliseconds{2500},
+    std::chrono::milliseconds{5000}, std::chrono::milliseconds{10000}};
+
 /// What callers saw of one service through this node; counts only rise.
 struct service_counts {
   std::string service;
@@ -62,6 +73,9 @@
   std::chrono::microseconds latency_median{0};
   std::chrono::microseconds latency_99{0};
   std::chrono::microseconds latency_999{0};
+  /// Requests by latency since the start; the last bucket has no upper bound.
+  std::array<std::uint64_t, kLatencyBuckets.size() + 1> latency_counts{};
+  std::chrono::microseconds latency_sum{0};
 };
 
 /// How one request of a caller was decided.
--- a/Tests/LibLoad/test_return.cc
+++ b/Tests/LibLoad/test_return.cc
@@ -2,6 +2,7 @@
 #include <set>
 
 #include "LibLoad/caller_patience.h"
+#include "LibLoad/retry_budget.h"
 #include "LibLoad/return_time.h"
 
 using std::chrono::milliseconds;
@@ -40,4 +41,22 @@
       (patience.WaitedBefore("a", milliseconds{2'500}) == milliseconds{0}));
 }
 
+// Twelve nodes spend their parts at once, after a long calm.
+BOOST_AUTO_TEST_CASE(AllNodesTogetherStayWithinTheFleetsRetries) {
+  constexpr int kNodes = 12;
+  constexpr int kRequestsANode = 300;
+  const fleet_retry_limits limits{0.2, 64};
+  int spent = 0;
+  for (int node = 0; node < kNodes; ++node) {
+    retry_budget budget;
+    for (int count = 0; count < kRequestsANode; ++count) {
+      budget.SetLimits(limits, kNodes);
+      budget.Earn(5.0);
+      spent += budget.TrySpend() ? 1 : 0;
+    }
+  }
+  BOOST_TEST(spent > 0.1 * kNodes * kRequestsANode);
+  BOOST_TEST(spent <= 0.2 * kNodes * kRequestsANode + 64);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
