--- a/Libraries/LibAdmin/admin_server.cc
+++ b/Libraries/LibAdmin/admin_server.cc
@@ -36,9 +36,9 @@
 admin_response MakeResponse(const admin_answer& answer, unsigned version,
                             bool keeps_alive) {
   admin_response response{static_cast<http::status>(answer.status), version};
-  response.set(http::field::content_type,
-               answer.text.empty() ? "application/json"
-                                   : "text/plain; version=0.0.4");
+  response.set(http::field::content_type, answer.text.empty()
+                                              ? "application/json"
+                                              : "text/plain; version=0.0.4");
   response.set(http::field::cache_control, "no-store");
   response.keep_alive(keeps_alive);
   response.body() =
--- a/Libraries/LibNode/metrics_text.cc
+++ b/Libraries/LibNode/metrics_text.cc
@@ -42,20 +42,18 @@
   std::uint64_t below = 0;
   for (std::size_t at = 0; at < counts.latency_counts.size(); ++at) {
     below += counts.latency_counts[at];
-    const std::string bound =
-        at < kLatencyBuckets.size()
-            ? std::to_string(kLatencyBuckets[at].count())
-            : "+Inf";
-    AddLine(text, "latency_ms_bucket",
-            "{" + service + ",le=\"" + bound + "\"}",
+    const std::string bound = at < kLatencyBuckets.size()
+                                  ? std::to_string(kLatencyBuckets[at].count())
+                                  : "+Inf";
+    AddLine(text, "latency_ms_bucket", "{" + service + ",le=\"" + bound + "\"}",
             static_cast<std::int64_t>(below));
   }
   AddLine(text, "latency_ms_count", "{" + service + "}",
           static_cast<std::int64_t>(below));
-  AddLine(text, "latency_ms_sum", "{" + service + "}",
-          std::chrono::duration_cast<std::chrono::milliseconds>(
-              counts.latency_sum)
-              .count());
+  AddLine(
+      text, "latency_ms_sum", "{" + service + "}",
+      std::chrono::duration_cast<std::chrono::milliseconds>(counts.latency_sum)
+          .count());
   AddLine(text, "service_failed_total", "{" + service + "}",
           static_cast<std::int64_t>(counts.failed));
 }
--- a/Libraries/LibTraffic/service_statistics.cc
+++ b/Libraries/LibTraffic/service_statistics.cc
@@ -54,8 +54,8 @@
   of.counts.slow += taken > asked.level.latency ? 1 : 0;
   const auto bucket =
       std::lower_bound(kLatencyBuckets.begin(), kLatencyBuckets.end(), taken);
-  ++of.counts.latency_counts[static_cast<std::size_t>(
-      bucket - kLatencyBuckets.begin())];
+  ++of.counts.latency_counts[static_cast<std::size_t>(bucket -
+                                                      kLatencyBuckets.begin())];
   of.counts.latency_sum +=
       std::chrono::duration_cast<std::chrono::microseconds>(taken);
   ++of.samples;
--- /dev/null
+++ b/Tests/Process/catalog_stand_ins.py
@@ -0,0 +1,156 @@
+"""Stand-ins of a platform that publishes a catalog: its store, and backend servers that register there."""
+
+import base64
+import http.server
+import json
+import sys
+import threading
+import time
+
+
+class Answering(http.server.BaseHTTPRequestHandler):
+    """Answers over kept connections and prints nothing."""
+
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, *_):
+        pass
+
+    def answer(self, status, body=b"", headers=()):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class QuietServer(http.server.ThreadingHTTPServer):
+    """Says nothing of askers that are killed in the midst of a call."""
+
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        if not isinstance(sys.exc_info()[1], ConnectionError):
+            super().handle_error(request, client_address)
+
+
+class Server:
+    """An HTTP server on its own threads, until stop()."""
+
+    def __init__(self, address, handler):
+        host, port = address.split(":")
+        self._http = QuietServer((host, int(port)), handler)
+        threading.Thread(target=self._http.serve_forever, daemon=True).start()
+
+    def stop(self):
+        self._http.shutdown()
+        self._http.server_close()
+
+
+class Store:
+    """The platform's store: items by key, one revision counter, waiting watches."""
+
+    def __init__(self, address):
+        self._changed = threading.Condition()
+        self._revision = 1
+        self._items = {}  # By key: the last event.
+        self.is_down = False
+        self.calls = 0
+        store = self
+
+        class Handler(Answering):
+            def do_GET(self):
+                path, _, query = self.path.partition("?")
+                asked = dict(part.partition("=")[::2] for part in query.split("&"))
+                store.calls += 1
+                if store.is_down:
+                    self.answer(503)
+                elif path == "/kv-range":
+                    self.reply(store.page())
+                elif path == "/kv-watch":
+                    self.reply(store.watch(int(asked["after"]), int(asked["wait-ms"]) / 1000))
+                else:
+                    self.answer(404)
+
+            def reply(self, document):
+                self.answer(200, json.dumps(document).encode(), [("Content-Type", "application/json")])
+
+        self._server = Server(address, Handler)
+
+    def write(self, key, document):
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        with self._changed:
+            self._revision += 1
+            created = self._items.get(key, {}).get("created") or self._revision
+            self._items[key] = {"key": key, "value": value, "revision": self._revision, "created": created}
+            self._changed.notify_all()
+
+    def remove(self, key):
+        with self._changed:
+            self._revision += 1
+            self._items[key] = {"key": key, "revision": self._revision, "removed": True}
+            self._changed.notify_all()
+
+    def page(self):
+        with self._changed:
+            items = [item for item in self._items.values() if not item.get("removed")]
+            return {"items": items, "has-more": False, "at-rev": self._revision}
+
+    def watch(self, after, wait):
+        end = time.monotonic() + wait
+        with self._changed:
+            while self._revision <= after and time.monotonic() < end and not self.is_down:
+                self._changed.wait(max(0.0, min(0.1, end - time.monotonic())))
+            events = [item for item in self._items.values() if item["revision"] > after]
+            return {"events": sorted(events, key=lambda item: item["revision"]), "at-rev": self._revision}
+
+    def stop(self):
+        self._server.stop()
+
+
+class BackendServer:
+    """One start of a backend server: checks which start is meant, and keeps what it ran."""
+
+    def __init__(self, identity, address, service):
+        self.identity, self.address, self.service = identity, address, service
+        self.ran = []  # Of each request: id, caller service, when.
+        backend = self
+
+        class Handler(Answering):
+            def do_GET(self):
+                body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
+                expected = self.headers.get("X-Expect-Instance")
+                identity = ("X-Instance-Id", backend.identity)
+                if expected != backend.identity:
+                    self.answer(421, headers=[identity, ("X-Not-Executed", "1")])
+                    return
+                request_id = self.headers.get("X-Request-Id")
+                backend.ran.append((request_id, self.headers.get("X-Caller-Service"), time.monotonic()))
+                self.answer(200, b"%s of %s" % (request_id.encode(), body),
+                            [identity, ("X-Request-Id", request_id), ("X-Response-Stamp", backend.identity)])
+
+            do_POST = do_GET
+
+        self._server = Server(address, Handler)
+
+    def entry(self, zone, state="ready"):
+        return {"service": self.service, "address": self.address, "zone": zone, "config-version": "v1", "slots": 8,
+                "state": state, "cold-remaining": "0ms", "seq": 1}
+
+    def stop(self):
+        self._server.stop()
+
+
+def configuration(version, routes):
+    """The operators' configuration; `routes` holds (prefix, kind, service)."""
+    rules = [{"name": "r" + prefix.replace("/", "-"), "route-kind": kind, "target-latency": "500ms", "priority": 1,
+              "match": {"prefix": prefix}, "action": {"service": service, "timeout": "1500ms", "max-attempts": 2}}
+             for prefix, kind, service in routes]
+    services = sorted({service for _, _, service in routes})
+    return {"config-version": f"r{version}",
+            "limits": {"max-header-bytes": 16384, "max-body-bytes": 65536, "header-timeout": "3s",
+                       "idle-timeout": "15s"},
+            "listeners": [{"host": "mesh.example", "rules": rules}],
+            "clusters": [{"name": service, "health-path": "/healthz", "max-connections": 64, "protocol": "h1",
+                          "tls": False} for service in services]}
--- /dev/null
+++ b/Tests/Process/test_catalog.py
@@ -0,0 +1,193 @@
+"""The whole path on a platform that publishes a catalog: real nodes, a stand-in store and stand-in backend servers."""
+
+import http.client
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import tempfile
+import time
+import unittest
+
+from catalog_stand_ins import BackendServer, Store, configuration
+from processes import PROGRAMS, Ports, die_with_parent, wait_until
+
+SERVICES = {"127.0.0.2": ("hall-a", "ledger"), "127.0.0.3": ("hall-a", "casefile"),
+            "127.0.0.4": ("hall-b", "ledger"), "127.0.0.5": ("hall-b", "casefile")}
+ROUTES = [("/balance/", "safe", "ledger"), ("/posting/", "unsafe", "ledger"), ("/history/", "safe", "casefile")]
+
+
+class CatalogFleet(unittest.TestCase):
+    """Four VMs in two failure domains, each by its own loopback address."""
+
+    def setUp(self):
+        ports = Ports()
+        self.ports = {name: ports.take().rpartition(":")[2]
+                      for name in ("caller", "hop", "peer", "admin", "readiness", "backend")}
+        self.folder = pathlib.Path(tempfile.mkdtemp())
+        store_address = ports.take()
+        self.store = Store(store_address)
+        self.backends, self.nodes = {}, {}
+        self.store.write("op/config", configuration(3, ROUTES))
+        for vm, (domain, service) in SERVICES.items():
+            backend = BackendServer(f"i-{vm[-1]}", f"{vm}:{self.ports['backend']}", service)
+            self.backends[vm] = backend
+            self.store.write(f"servers/{backend.identity}", backend.entry(domain))
+            self.write_settings(vm, domain, service, store_address)
+            self.start(vm)
+        self.wait_ready(SERVICES)
+
+    def tearDown(self):
+        for node in self.nodes.values():
+            node.kill()
+            node.wait()
+        for backend in self.backends.values():
+            backend.stop()
+        self.store.stop()
+
+    def write_settings(self, vm, domain, service, store_address):
+        listen = {name: f"{vm}:{self.ports[name]}" for name in ("caller", "hop", "peer", "admin", "readiness")}
+        settings = {"vm": vm, "region": "pk", "failure_domain": domain, "service": service, "listen": listen,
+                    "backend_server": {"address": f"{vm}:{self.ports['backend']}"},
+                    "platform": {"interface": "catalog", "addresses": [store_address], "calls_per_second": 2000,
+                                 "expected_vms": 1},
+                    "drain_grace": "6s", "retries": {"share": 0.2, "slack": 64}}
+        (self.folder / f"{vm}.json").write_text(json.dumps(settings))
+
+    def start(self, vm):
+        with open(self.folder / f"{vm}.log", "ab") as log:
+            self.nodes[vm] = subprocess.Popen(
+                [PROGRAMS / "wagtailmountd" / "wagtailmountd", "--settings", self.folder / f"{vm}.json"],
+                stdout=log, stderr=log, preexec_fn=die_with_parent)
+
+    def is_ready(self, vm):
+        try:
+            connection = http.client.HTTPConnection(vm, int(self.ports["readiness"]), timeout=1)
+            connection.request("GET", "/readyz")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+
+    def wait_ready(self, vms):
+        wait_until("all nodes are ready", lambda: all(self.is_ready(vm) for vm in vms), 8)
+
+    def call(self, vm, path, method="GET", body=None, request_id=None):
+        connection = http.client.HTTPConnection(vm, int(self.ports["caller"]), timeout=3)
+        try:
+            connection.request(method, path, body, {"Host": "mesh.example", "X-Deadline-Ms": "2000",
+                                                    "X-Request-Id": request_id or os.urandom(8).hex()})
+            answer = connection.getresponse()
+            return answer.status, answer.read(), dict(answer.getheaders())
+        finally:
+            connection.close()
+
+    def runs(self, service):
+        return sum(len(backend.ran) for backend in self.backends.values() if backend.service == service)
+
+    def log_of(self, vm):
+        return [json.loads(line) for line in (self.folder / f"{vm}.log").read_text().splitlines()
+                if line.startswith("{")]
+
+    def test_serves_across_nodes_and_names_the_caller(self):
+        for vm, (_, service) in SERVICES.items():
+            for path in ("/balance/7", "/history/7"):
+                status, body, headers = self.call(vm, path, request_id=f"id-{vm}-{path[1:4]}")
+                self.assertEqual((status, body), (200, f"id-{vm}-{path[1:4]} of b''".encode().replace(b"b''", b"")))
+                self.assertIn("X-Response-Stamp", headers)
+        for backend in self.backends.values():
+            for request_id, caller, _ in backend.ran:
+                self.assertEqual(caller, SERVICES[request_id.split("-")[1]][1])
+        status, _, _ = self.call("127.0.0.2", "/posting/1", "POST", "cash")
+        self.assertEqual(status, 200)
+        self.assertEqual(self.call("127.0.0.2", "/unknown/1")[0], 404)
+        self.assertEqual(self.call("127.0.0.2", "/balance")[0], 404)
+
+    def test_a_changed_route_is_in_force_everywhere_within_two_seconds(self):
+        changed = [("/balance/", "safe", "casefile")] + ROUTES[1:] + [("/added/", "safe", "ledger")]
+        self.store.write("op/config", configuration(9, changed))
+        wait_until("the added route is served by all nodes",
+                   lambda: all(self.call(vm, "/added/1")[0] == 200 for vm in SERVICES), 2)
+        before = self.runs("ledger")
+        for vm in SERVICES:
+            self.assertEqual(self.call(vm, "/balance/1")[0], 200)
+        self.assertEqual(self.runs("ledger"), before)
+        # An older version, and one that can't be read, change nothing.
+        self.store.write("op/config", configuration(8, ROUTES))
+        self.store.write("op/config", {"config-version": "r11"})
+        time.sleep(1.0)
+        self.assertEqual(self.call("127.0.0.4", "/added/1")[0], 200)
+        self.assertTrue(any(line["event"] == "configuration-refused" for line in self.log_of("127.0.0.2")))
+
+    def test_a_leaving_backend_server_gets_nothing_after_two_seconds(self):
+        leaving = self.backends["127.0.0.2"]
+        self.store.write("servers/" + leaving.identity, leaving.entry("hall-a", "draining"))
+        since = time.monotonic()
+        # A late write of its earlier state does not bring it back.
+        time.sleep(0.5)
+        self.store.write("servers/" + leaving.identity, leaving.entry("hall-a"))
+        while time.monotonic() - since < 3.5:
+            for vm in SERVICES:
+                self.assertEqual(self.call(vm, "/balance/1")[0], 200)
+        self.assertTrue(all(when - since <= 2.0 for _, _, when in leaving.ran))
+
+    def test_an_address_used_again_by_another_start_runs_nothing_meant_for_the_first(self):
+        backend = self.backends["127.0.0.2"]
+        backend.identity = "i-other"
+        for vm in SERVICES:
+            self.assertEqual(self.call(vm, "/balance/1")[0], 200)
+        self.assertEqual(backend.ran, [])
+
+    def test_a_stopped_node_cuts_nothing_and_comes_back(self):
+        self.nodes["127.0.0.3"].send_signal(signal.SIGTERM)
+        time.sleep(0.3)
+        self.assertFalse(self.is_ready("127.0.0.3"))
+        for _ in range(20):
+            self.assertEqual(self.call("127.0.0.3", "/history/1")[0], 200)
+            self.assertEqual(self.call("127.0.0.5", "/history/1")[0], 200)
+        self.assertEqual(self.nodes["127.0.0.3"].wait(timeout=7), 0)
+        self.start("127.0.0.3")
+        self.wait_ready(["127.0.0.3"])
+        self.assertEqual(self.call("127.0.0.3", "/balance/1")[0], 200)
+
+    def test_without_the_store_what_is_known_is_served_and_a_new_start_learns_it(self):
+        self.store.is_down = True
+        self.nodes["127.0.0.5"].kill()
+        self.nodes["127.0.0.5"].wait()
+        for _ in range(20):
+            self.assertEqual(self.call("127.0.0.2", "/balance/1")[0], 200)
+        self.start("127.0.0.5")
+        self.wait_ready(["127.0.0.5"])
+        self.assertEqual(self.call("127.0.0.5", "/history/1")[0], 200)
+
+    def test_a_start_that_can_learn_nothing_refuses_as_not_run(self):
+        self.store.is_down = True
+        for node in self.nodes.values():
+            node.kill()
+            node.wait()
+        self.start("127.0.0.2")
+        time.sleep(2.0)
+        self.assertFalse(self.is_ready("127.0.0.2"))
+        status, _, headers = self.call("127.0.0.2", "/balance/1")
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", headers)
+        self.store.is_down = False
+        self.wait_ready(["127.0.0.2"])
+
+    def test_a_reload_signal_is_survived_and_told(self):
+        self.nodes["127.0.0.2"].send_signal(signal.SIGHUP)
+        wait_until("the reload is told", lambda: any(
+            line["event"] == "settings-reloaded" for line in self.log_of("127.0.0.2")), 2)
+        self.assertEqual(self.call("127.0.0.2", "/balance/1")[0], 200)
+
+    def test_metrics_are_told_as_text(self):
+        self.call("127.0.0.2", "/balance/1")
+        connection = http.client.HTTPConnection("127.0.0.2", int(self.ports["admin"]), timeout=1)
+        connection.request("GET", "/metrics")
+        text = connection.getresponse().read().decode()
+        self.assertIn("wagtailmount_requests_total 1\n", text)
+        self.assertIn('wagtailmount_latency_ms_bucket{service="ledger",le="+Inf"} 1\n', text)
+
+
+if __name__ == "__main__":
+    unittest.main()
