LibCatalog: Tell large contents as deltas, and leave what is too large for a link to the store

Change: a content is told as copies from one that the receiver holds; an update above 16 KB is not passed on, but read.

--- a/Libraries/LibCatalog/catalog.cc
+++ b/Libraries/LibCatalog/catalog.cc
@@ -3,15 +3,81 @@
 #include <algorithm>
 #include <set>
 
+#include "LibCatalog/content_delta.h"
+
 namespace wagtailmount {
 
 namespace {
 
 /// Removed keys that are remembered, so that late news can't bring them back.
 constexpr std::size_t kMostRemovals = 4096;
+/// Contents from that size on are told as deltas.
+constexpr std::size_t kLargeContentBytes = 4096;
+/// Replaced contents that are kept to make deltas from. Source: versions that
+/// come in quick succession within one heartbeat of a link.
+constexpr std::size_t kMostReplaced = 4;
+
+bool IsLarge(const catalog_item& item) {
+  return item.content != nullptr && item.content->size() >= kLargeContentBytes;
+}
 
 }  // namespace
 
+std::size_t catalog_update::ContentBytes() const {
+  std::size_t bytes = 0;
+  for (const catalog_item& item : items) {
+    bytes += item.content == nullptr ? 0 : item.content->size();
+  }
+  return bytes;
+}
+
+void catalog::RememberContent(const catalog_item& replaced) {
+  if (!IsLarge(replaced)) {
+    return;
+  }
+  replaced_.push_back(replaced);
+  if (replaced_.size() > kMostReplaced) {
+    replaced_.pop_front();
+  }
+}
+
+// The other node holds the newest revision of the key up to `after`.
+void catalog::MakeSmall(catalog_item& item, std::uint64_t after) const {
+  const catalog_item* base = nullptr;
+  for (const catalog_item& each : replaced_) {
+    if (each.key == item.key && each.revision <= after) {
+      base = &each;
+    }
+  }
+  if (base == nullptr || !IsLarge(item)) {
+    return;
+  }
+  std::string delta = MakeDelta(*base->content, *item.content);
+  if (delta.size() < item.content->size() / 2) {
+    item.content = std::make_shared<const std::string>(std::move(delta));
+    item.base_revision = base->revision;
+  }
+}
+
+bool catalog::MakeWhole(catalog_item& item) const {
+  if (item.base_revision == 0) {
+    return true;
+  }
+  const auto held = items_.find(item.key);
+  if (held == items_.end() || held->second.is_removed ||
+      held->second.revision != item.base_revision) {
+    // One that is newer already needs no base.
+    return held != items_.end() && held->second.revision >= item.revision;
+  }
+  auto whole = ApplyDelta(*held->second.content, *item.content);
+  if (!whole) {
+    return false;
+  }
+  item.content = std::make_shared<const std::string>(*std::move(whole));
+  item.base_revision = 0;
+  return true;
+}
+
 bool catalog::Take(const catalog_item& item) {
   const auto found = items_.find(item.key);
   if (found != items_.end() && found->second.revision >= item.revision) {
@@ -21,6 +87,9 @@
   if (found == items_.end() && item.revision <= removals_forgotten_to_) {
     return false;
   }
+  if (found != items_.end()) {
+    RememberContent(found->second);
+  }
   items_[item.key] = item;
   return true;
 }
@@ -60,7 +129,13 @@
   if (update.after == 0) {
     return TakeListing(update.items, update.complete_to);
   }
-  for (const catalog_item& item : update.items) {
+  std::vector<catalog_item> whole = update.items;
+  for (catalog_item& item : whole) {
+    if (!MakeWhole(item)) {
+      return changed;
+    }
+  }
+  for (const catalog_item& item : whole) {
     if (Take(item)) {
       changed.push_back(item.key);
     }
@@ -80,6 +155,9 @@
     const bool is_wanted = is_whole ? !held.is_removed : held.revision > after;
     if (is_wanted) {
       update.items.push_back(held);
+      if (!is_whole) {
+        MakeSmall(update.items.back(), after);
+      }
     }
   }
   return update;
--- a/Libraries/LibCatalog/catalog.h
+++ b/Libraries/LibCatalog/catalog.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <span>
 #include <string>
@@ -13,6 +14,9 @@
 
 /// What changed between two revisions of a catalog, as one node tells another.
 struct catalog_update {
+  /// The bytes of all contents.
+  std::size_t ContentBytes() const;
+
   std::uint64_t after = 0;  ///< Holds every change later than this revision.
   std::uint64_t complete_to = 0;  ///< And none is missing up to this one.
   std::vector<catalog_item> items;
@@ -32,10 +36,12 @@
                                        std::uint64_t complete_to);
 
   /// Takes an update that joins on to what is held. Returns the keys that
-  /// changed; none, and nothing is taken, when it would leave a gap.
+  /// changed; none, and nothing is taken, when it would leave a gap or holds a
+  /// delta that does not fit.
   std::vector<std::string> TakeUpdate(const catalog_update& update);
 
-  /// What a node that is complete up to `after` lacks.
+  /// What a node that is complete up to `after` lacks; large contents as deltas
+  /// where this node still knows what the other one holds.
   catalog_update UpdateAfter(std::uint64_t after) const;
 
   /// Null when the key is not held or was removed.
@@ -49,8 +55,13 @@
 
  private:
   void ForgetOldRemovals();
+  void RememberContent(const catalog_item& replaced);
+  void MakeSmall(catalog_item& item, std::uint64_t after) const;
+  bool MakeWhole(catalog_item& item) const;
 
   std::map<std::string, catalog_item, std::less<>> items_;
+  /// The last large contents that were replaced, oldest first.
+  std::deque<catalog_item> replaced_;
   std::uint64_t complete_to_ = 0;
   /// Removals at or below this revision are no longer known.
   std::uint64_t removals_forgotten_to_ = 0;
--- a/Libraries/LibCatalog/catalog_feed.cc
+++ b/Libraries/LibCatalog/catalog_feed.cc
@@ -30,7 +30,8 @@
     return may_list_stale_ ? feed_call::kListStale : feed_call::kList;
   }
   const bool has_just_listed = now < listed_at_ + settings_.peer_grace;
-  const bool may_rely_on_peers = IsFedByPeers(now) || has_just_listed;
+  const bool may_rely_on_peers =
+      !needs_own_read_ && (IsFedByPeers(now) || has_just_listed);
   return !is_reader_ && may_rely_on_peers ? feed_call::kNone
                                           : feed_call::kWatch;
 }
@@ -60,6 +61,7 @@
     return;
   }
   failures_in_row_ = 0;
+  needs_own_read_ = false;
   next_call_ = now;
   if (ended == feed_call::kWatch) {
     fresh_at_ = now;
--- a/Libraries/LibCatalog/catalog_feed.h
+++ b/Libraries/LibCatalog/catalog_feed.h
@@ -61,6 +61,9 @@
   /// A peer holds all that it knew at the platform `age` ago.
   void HearOfPeer(time_point now, std::chrono::milliseconds age);
 
+  /// A peer holds more and can't bring it: this node reads by itself.
+  void NeedOwnRead() { needs_own_read_ = true; }
+
   /// How long ago this node surely held the platform's newest state; none when
   /// it never did.
   std::optional<std::chrono::milliseconds> Age(time_point now) const;
@@ -79,6 +82,7 @@
   bool is_reader_ = false;
   bool needs_listing_ = true;
   bool may_list_stale_ = true;
+  bool needs_own_read_ = false;
   feed_call in_flight_ = feed_call::kNone;
   time_point in_flight_since_{};
   time_point next_call_{};
--- /dev/null
+++ b/Libraries/LibCatalog/content_delta.cc
@@ -0,0 +1,178 @@
+#include "LibCatalog/content_delta.h"
+
+#include <charconv>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+#include "LibBase/digest.h"
+
+namespace wagtailmount {
+
+namespace {
+
+/// Objects end with it, so that equal ones make equal pieces.
+constexpr char kPieceEnd = '}';
+/// Shorter pieces join the next one: a copy has a cost of its own.
+constexpr std::size_t kLeastPieceBytes = 24;
+/// No content that is passed on is longer.
+constexpr std::size_t kMostContentBytes = std::size_t{16} * 1024 * 1024;
+
+std::vector<std::string_view> SplitIntoPieces(std::string_view content) {
+  std::vector<std::string_view> pieces;
+  std::size_t begin = 0;
+  for (std::size_t at = 0; at < content.size(); ++at) {
+    const std::size_t size = at + 1 - begin;
+    if (content[at] == kPieceEnd && size >= kLeastPieceBytes) {
+      pieces.push_back(content.substr(begin, size));
+      begin = at + 1;
+    }
+  }
+  if (begin < content.size()) {
+    pieces.push_back(content.substr(begin));
+  }
+  return pieces;
+}
+
+void AppendNumber(std::string& delta, std::uint64_t number) {
+  delta += std::to_string(number);
+  delta += ' ';
+}
+
+/// Reads the numbers and bytes of a delta in their order.
+class delta_reader {
+ public:
+  explicit delta_reader(std::string_view delta) : left_(delta) {}
+
+  bool IsAtEnd() const { return left_.empty(); }
+
+  std::optional<std::uint64_t> Number() {
+    std::uint64_t number = 0;
+    const char* const end = left_.data() + left_.size();
+    const auto [after, status] = std::from_chars(left_.data(), end, number);
+    if (status != std::errc{} || after == end || *after != ' ') {
+      return std::nullopt;
+    }
+    left_.remove_prefix(static_cast<std::size_t>(after - left_.data()) + 1);
+    return number;
+  }
+
+  std::optional<std::string_view> Bytes(std::uint64_t count) {
+    if (count > left_.size()) {
+      return std::nullopt;
+    }
+    const std::string_view bytes = left_.substr(0, count);
+    left_.remove_prefix(count);
+    return bytes;
+  }
+
+  std::optional<char> Letter() {
+    const auto letter = Bytes(1);
+    return letter ? std::optional{letter->front()} : std::nullopt;
+  }
+
+ private:
+  std::string_view left_;
+};
+
+/// Joins copies that follow each other in the base.
+class delta_writer {
+ public:
+  void Copy(std::size_t offset, std::size_t size) {
+    if (copy_size_ > 0 && copy_offset_ + copy_size_ == offset) {
+      copy_size_ += size;
+      return;
+    }
+    EndCopy();
+    copy_offset_ = offset;
+    copy_size_ = size;
+  }
+
+  void Insert(std::string_view bytes) {
+    EndCopy();
+    written_ += 'i';
+    AppendNumber(written_, bytes.size());
+    written_ += bytes;
+  }
+
+  std::string Finish(std::string_view target) && {
+    EndCopy();
+    std::string delta;
+    AppendNumber(delta, HashOf(target));
+    return delta + written_;
+  }
+
+ private:
+  void EndCopy() {
+    if (copy_size_ > 0) {
+      written_ += 'c';
+      AppendNumber(written_, copy_offset_);
+      AppendNumber(written_, copy_size_);
+      copy_size_ = 0;
+    }
+  }
+
+  std::string written_;
+  std::size_t copy_offset_ = 0;
+  std::size_t copy_size_ = 0;
+};
+
+bool ApplyStep(std::string_view base, delta_reader& reader,
+               std::string& target) {
+  const auto kind = reader.Letter();
+  const auto first = reader.Number();
+  if (!kind || !first) {
+    return false;
+  }
+  if (*kind == 'i') {
+    const auto bytes = reader.Bytes(*first);
+    target += bytes.value_or(std::string_view{});
+    return bytes.has_value();
+  }
+  const auto size = reader.Number();
+  if (*kind != 'c' || !size || *first > base.size() ||
+      *size > base.size() - *first) {
+    return false;
+  }
+  target += base.substr(*first, *size);
+  return true;
+}
+
+}  // namespace
+
+std::string MakeDelta(std::string_view base, std::string_view target) {
+  std::unordered_map<std::string_view, std::size_t> offset_of;
+  for (const std::string_view piece : SplitIntoPieces(base)) {
+    offset_of.emplace(piece,
+                      static_cast<std::size_t>(piece.data() - base.data()));
+  }
+  delta_writer writer;
+  for (const std::string_view piece : SplitIntoPieces(target)) {
+    const auto found = offset_of.find(piece);
+    if (found == offset_of.end()) {
+      writer.Insert(piece);
+    } else {
+      writer.Copy(found->second, piece.size());
+    }
+  }
+  return std::move(writer).Finish(target);
+}
+
+std::optional<std::string> ApplyDelta(std::string_view base,
+                                      std::string_view delta) {
+  delta_reader reader(delta);
+  const auto wanted_hash = reader.Number();
+  if (!wanted_hash) {
+    return std::nullopt;
+  }
+  std::string target;
+  while (!reader.IsAtEnd()) {
+    if (!ApplyStep(base, reader, target) || target.size() > kMostContentBytes) {
+      return std::nullopt;
+    }
+  }
+  return HashOf(target) == *wanted_hash ? std::optional{std::move(target)}
+                                        : std::nullopt;
+}
+
+}  // namespace wagtailmount
--- a/Libraries/LibLink/message_decoder.cc
+++ b/Libraries/LibLink/message_decoder.cc
@@ -251,12 +251,13 @@
 }
 
 catalog_item ReadCatalogItem(const json& item, std::string& fault) {
-  constexpr std::size_t kItems = 5;
+  constexpr std::size_t kItems = 6;
   array_reader reader(item, "catalog item", kItems, fault);
   catalog_item read;
   read.key = ReadName(reader, "key");
   read.revision = reader.Number("revision", kAnyNumber);
   read.created = reader.Number("created", kAnyNumber);
+  read.base_revision = reader.Number("base revision", kAnyNumber);
   read.is_removed = reader.Number("is removed", 1) == 1;
   auto content = reader.Bytes("content", kLongestFileBytes);
   if (!read.is_removed) {
--- a/Libraries/LibLink/message_encoder.cc
+++ b/Libraries/LibLink/message_encoder.cc
@@ -50,12 +50,12 @@
 
 json ToCbor(const catalog_item& item) {
   const bool has_content = item.content != nullptr;
-  return json::array(
-      {item.key, item.revision, item.created, item.is_removed ? 1U : 0U,
-       json::binary(has_content
-                        ? std::vector<std::uint8_t>(item.content->begin(),
-                                                    item.content->end())
-                        : std::vector<std::uint8_t>{})});
+  return json::array({item.key, item.revision, item.created, item.base_revision,
+                      item.is_removed ? 1U : 0U,
+                      json::binary(has_content ? std::vector<std::uint8_t>(
+                                                     item.content->begin(),
+                                                     item.content->end())
+                                               : std::vector<std::uint8_t>{})});
 }
 
 template <typename T>
--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -20,9 +20,13 @@
 /// A link that is silent for so long is closed. Source: four heartbeats.
 constexpr milliseconds kLinkSilence{1'800};
 constexpr milliseconds kLinkBackoff{1'000};
-/// How long news of another failure domain may still come from the own reader.
-/// Source: catalog_feed's pause between two watches, and a margin.
-constexpr milliseconds kRemotePatience{350};
+/// How long news that a peer has may still come by themselves. Source:
+/// catalog_feed's pause between two watches, and a margin.
+constexpr milliseconds kPeerPatience{350};
+/// A larger update is left to be read from the platform: passing it on to each
+/// node of a failure domain would hold up requests on a slow link. Source: 20
+/// nodes on a link of 5 Mbit/s within half a second.
+constexpr std::size_t kLargestUpdate = std::size_t{16} * 1024;
 /// Beyond that age of the platform's last word, a catalog does not count as
 /// fresh. Source: catalog_feed's staleness, and the time to read.
 constexpr milliseconds kFreshAge{1'400};
@@ -378,7 +382,7 @@
     if (known.is_near && known.complete_to > 0 &&
         known.complete_to < complete_to) {
       catalog_update update = catalog_.UpdateAfter(known.complete_to);
-      if (!update.items.empty() &&
+      if (!update.items.empty() && update.ContentBytes() <= kLargestUpdate &&
           links_.Send(peer,
                       catalog_update_message{std::move(update), AgeToTell()})) {
         known.complete_to = complete_to;
@@ -392,8 +396,7 @@
   }
 }
 
-// What a peer of the own failure domain holds is asked for at once. Others wait
-// a little: most of the time the own reader brings the same.
+// Most of the time the own reader brings the same a moment later.
 void catalog_control::RequestWhatIsLacking(time_point now) {
   for (auto& [peer, known] : peers_) {
     if (known.complete_to <= catalog_.CompleteTo()) {
@@ -403,13 +406,17 @@
     if (known.ahead_since == time_point{}) {
       known.ahead_since = now;
     }
-    const bool is_due =
-        known.is_near || now - known.ahead_since >= kRemotePatience;
-    if (is_due &&
-        links_.Send(peer, catalog_request_message{catalog_.CompleteTo()})) {
-      known.ahead_since = now;
-      return;
+    if (now - known.ahead_since < kPeerPatience) {
+      continue;
+    }
+    // Near ones bring what they can by themselves: this is too much for a link.
+    known.ahead_since = now;
+    if (known.is_near) {
+      feed_.NeedOwnRead();
+    } else {
+      links_.Send(peer, catalog_request_message{catalog_.CompleteTo()});
     }
+    return;
   }
 }
 
@@ -486,6 +493,9 @@
     return;
   }
   const auto changed = catalog_.TakeUpdate(sent.update);
+  if (catalog_.CompleteTo() < sent.update.complete_to) {
+    feed_.NeedOwnRead();
+  }
   if (catalog_.CompleteTo() == sent.update.complete_to) {
     feed_.HearOfPeer(clock_.Now(), sent.source_age);
   }
--- a/Tests/LibCatalog/test_catalog.cc
+++ b/Tests/LibCatalog/test_catalog.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "LibCatalog/catalog.h"
+#include "LibCatalog/content_delta.h"
 
 using namespace wagtailmount;  // NOLINT(google-build-using-namespace)
 
@@ -8,12 +9,16 @@
 
 catalog_item Item(std::string key, std::uint64_t revision,
                   std::string content = "x") {
-  return {std::move(key), revision, revision, false,
-          std::make_shared<const std::string>(std::move(content))};
+  return {std::move(key),
+          revision,
+          revision,
+          false,
+          std::make_shared<const std::string>(std::move(content)),
+          0};
 }
 
 catalog_item Removal(std::string key, std::uint64_t revision) {
-  return {std::move(key), revision, 0, true, nullptr};
+  return {std::move(key), revision, 0, true, nullptr, 0};
 }
 
 }  // namespace
@@ -74,4 +79,45 @@
   BOOST_TEST(second.ItemsUnder("").size() == 2U);
 }
 
+// Three hundred routes of which one changes, as in a storm of configurations.
+BOOST_AUTO_TEST_CASE(ALargeContentThatChangesALittleIsToldInFewBytes) {
+  const auto routes = [](int version, int changed) {
+    std::string text = "{\"version\":" + std::to_string(version) + ",\"r\":[";
+    for (int at = 0; at < 300; ++at) {
+      text += "{\"name\":\"r-" + std::to_string(at) +
+              "\",\"timeout\":" + std::to_string(at == changed ? 7 : 1) +
+              ",\"match\":{\"prefix\":\"/" + std::to_string(at) + "/\"}},";
+    }
+    return text + "{}]}";
+  };
+  catalog first;
+  first.TakeUpdate({0, 5, {Item("op", 5, routes(1, -1))}});
+  catalog second;
+  second.TakeUpdate(first.UpdateAfter(0));
+  first.TakeUpdate({5, 6, {Item("op", 6, routes(2, 40))}});
+  first.TakeUpdate({6, 9, {Item("op", 9, routes(3, 200))}});
+  const catalog_update update = first.UpdateAfter(second.CompleteTo());
+  BOOST_TEST(update.ContentBytes() < 600U);
+  BOOST_TEST(second.TakeUpdate(update).size() == 1U);
+  BOOST_TEST(*second.Find("op")->content == routes(3, 200));
+  // One who holds something else does not take it.
+  catalog third;
+  third.TakeUpdate({0, 5, {Item("op", 4, routes(9, 9))}});
+  BOOST_TEST(third.TakeUpdate(update).empty());
+  BOOST_TEST(third.CompleteTo() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(ADeltaThatIsMalformedIsRefused) {
+  const std::string base = "{" + std::string(100, 'a') + "}";
+  const std::string delta = MakeDelta(base, base + "}b");
+  BOOST_TEST(ApplyDelta(base, delta).value() == base + "}b");
+  BOOST_TEST(!ApplyDelta("other", delta));
+  for (std::size_t size = 0; size < delta.size(); ++size) {
+    BOOST_TEST(!ApplyDelta(base, delta.substr(0, size)));
+  }
+  BOOST_TEST(!ApplyDelta(base, "1 c0 1000 "));
+  BOOST_TEST(!ApplyDelta(base, "1 c99999999999999999999 1 "));
+  BOOST_TEST(!ApplyDelta(base, "1 i50 x"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibCatalog/test_catalog_feed.cc
+++ b/Tests/LibCatalog/test_catalog_feed.cc
@@ -68,6 +68,15 @@
   BOOST_TEST((Next(7) == feed_call::kWatch));
 }
 
+// News too large for a peer's link: one own read, then peers are enough again.
+BOOST_AUTO_TEST_CASE(AFollowerReadsWhatItsPeersCantBring) {
+  BecomeFedFollower();
+  feed.NeedOwnRead();
+  BOOST_TEST((Next(7) == feed_call::kWatch));
+  Call(feed_call::kWatch);
+  BOOST_TEST((Next(7) == feed_call::kNone));
+}
+
 BOOST_AUTO_TEST_CASE(AForgottenHistoryIsListedWholeAtOnce) {
   feed.SetReader(true);
   Call(feed_call::kListStale);
--- a/Tests/LibLink/test_message_codec.cc
+++ b/Tests/LibLink/test_message_codec.cc
@@ -56,12 +56,13 @@
       membership_request_message{{42, 43}},
       catalog_state_message{41, std::chrono::milliseconds{30}},
       catalog_request_message{40},
-      catalog_update_message{{40,
-                              42,
-                              {{"a/1", 41, 7, false,
-                                std::make_shared<const std::string>(all_bytes)},
-                               {"a/2", 42, 8, true, nullptr}}},
-                             std::chrono::milliseconds{5}},
+      catalog_update_message{
+          {40,
+           42,
+           {{"a/1", 41, 7, false,
+             std::make_shared<const std::string>(all_bytes), 39},
+            {"a/2", 42, 8, true, nullptr, 0}}},
+          std::chrono::milliseconds{5}},
   };
 }
 
@@ -139,10 +140,10 @@
       {"catalog state of another length", FrameOf({10, {1}}),
        "catalog state has 1 items instead of 2"},
       {"nameless catalog item",
-       FrameOf({12, {1, 2, json::array({{"", 1, 1, 0, BinaryOf(1)}}), 0}}),
+       FrameOf({12, {1, 2, json::array({{"", 1, 1, 0, 0, BinaryOf(1)}}), 0}}),
        "key is empty"},
       {"catalog content as text",
-       FrameOf({12, {1, 2, json::array({{"a", 1, 1, 0, "text"}}), 0}}),
+       FrameOf({12, {1, 2, json::array({{"a", 1, 1, 0, 0, "text"}}), 0}}),
        "content is not a byte string"},
   };
 }
--- a/Tests/platform/test_formats.cc
+++ b/Tests/platform/test_formats.cc
@@ -11,8 +11,12 @@
 namespace {
 
 catalog_item ItemOf(std::string key, std::string content) {
-  return {std::move(key), 5, 4, false,
-          std::make_shared<const std::string>(std::move(content))};
+  return {std::move(key),
+          5,
+          4,
+          false,
+          std::make_shared<const std::string>(std::move(content)),
+          0};
 }
 
 struct refused_text {
