LibCatalog: Let a delta's copies go on where the last one ended

It was over the 16 KB that a link takes, so each node read each version from the store and its link of 5 Mbit/s was full: connecting took 138 ms, a hop 190 ms longer than its owner held the request. Ruled out: queues at owners (held 48 ms, wait 0), the processor (the same without it), placement. Change: what follows the last copy is tried first; the delta made for one node is kept for the others; readers alone send fast heartbeats; an owner's overhead counts in placement.

--- a/Libraries/LibCatalog/catalog.cc
+++ b/Libraries/LibCatalog/catalog.cc
@@ -52,10 +52,17 @@
   if (base == nullptr || !IsLarge(item)) {
     return;
   }
-  std::string delta = MakeDelta(*base->content, *item.content);
-  if (delta.size() < item.content->size() / 2) {
-    item.content = std::make_shared<const std::string>(std::move(delta));
-    item.base_revision = base->revision;
+  const bool is_made = last_delta_.key == item.key &&
+                       last_delta_.revision == item.revision &&
+                       last_delta_.base_revision == base->revision;
+  if (!is_made) {
+    std::string delta = MakeDelta(*base->content, *item.content);
+    last_delta_ = item;
+    last_delta_.content = std::make_shared<const std::string>(std::move(delta));
+    last_delta_.base_revision = base->revision;
+  }
+  if (last_delta_.content->size() < item.content->size() / 2) {
+    item = last_delta_;
   }
 }
 
--- a/Libraries/LibCatalog/catalog.h
+++ b/Libraries/LibCatalog/catalog.h
@@ -62,6 +62,7 @@
   std::map<std::string, catalog_item, std::less<>> items_;
   /// The last large contents that were replaced, oldest first.
   std::deque<catalog_item> replaced_;
+  mutable catalog_item last_delta_;  ///< Made for one node, mostly fits others.
   std::uint64_t complete_to_ = 0;
   /// Removals at or below this revision are no longer known.
   std::uint64_t removals_forgotten_to_ = 0;
--- a/Libraries/LibCatalog/content_delta.cc
+++ b/Libraries/LibCatalog/content_delta.cc
@@ -78,6 +78,11 @@
 /// Joins copies that follow each other in the base.
 class delta_writer {
  public:
+  /// Where the copy so far ends in the base; 0 when there is none.
+  std::size_t CopyEnd() const {
+    return copy_size_ > 0 ? copy_offset_ + copy_size_ : 0;
+  }
+
   void Copy(std::size_t offset, std::size_t size) {
     if (copy_size_ > 0 && copy_offset_ + copy_size_ == offset) {
       copy_size_ += size;
@@ -148,6 +153,12 @@
   }
   delta_writer writer;
   for (const std::string_view piece : SplitIntoPieces(target)) {
+    // Many pieces occur again and again; what follows the last copy is best.
+    const std::size_t next = writer.CopyEnd();
+    if (next > 0 && base.substr(next).starts_with(piece)) {
+      writer.Copy(next, piece.size());
+      continue;
+    }
     const auto found = offset_of.find(piece);
     if (found == offset_of.end()) {
       writer.Insert(piece);
--- a/Libraries/LibLoad/admission.cc
+++ b/Libraries/LibLoad/admission.cc
@@ -194,7 +194,7 @@
 
 owner_load admission::Load(request_priority rank) const {
   return {ExpectedWait({rank, false}), DurationOf(rank),
-          static_cast<std::uint32_t>(Slots())};
+          static_cast<std::uint32_t>(Slots()), duration::zero()};
 }
 
 }  // namespace wagtailmount
--- a/Libraries/LibLoad/admission.h
+++ b/Libraries/LibLoad/admission.h
@@ -49,6 +49,7 @@
   duration wait{};     ///< What a fresh request of the asked rank would wait.
   duration service{};  ///< How long a request takes once started.
   std::uint32_t slots = 0;
+  duration held{};  ///< How long the owner had the request that it answers.
 };
 
 /// How long a request may wait to be started, if it takes `service` then: as
--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -15,8 +15,9 @@
 /// The heartbeat of links. Source: three in a row are missed before a follower
 /// reads by itself (catalog_feed::settings::stale_after).
 constexpr milliseconds kStatePeriod{300};
-/// The like of links to other failure domains.
-constexpr milliseconds kRemoteStatePeriod{900};
+/// The like of links on which nobody relies for freshness: to other failure
+/// domains, and of nodes that are no readers.
+constexpr milliseconds kSlowStatePeriod{900};
 /// A link that is silent for so long is closed. Source: four heartbeats.
 constexpr milliseconds kLinkSilence{1'800};
 constexpr milliseconds kLinkBackoff{1'000};
@@ -365,7 +366,7 @@
 void catalog_control::SendToPeers(time_point now) {
   const std::uint64_t complete_to = catalog_.CompleteTo();
   const bool is_state_due = now >= next_state_;
-  const bool is_remote_due = now >= next_remote_state_;
+  const bool is_slow_due = now >= next_slow_state_;
   const bool is_news = complete_to != told_complete_to_;
   if (!is_news && !is_state_due) {
     return;
@@ -374,8 +375,8 @@
   if (is_state_due) {
     next_state_ = now + kStatePeriod;
   }
-  if (is_remote_due) {
-    next_remote_state_ = now + kRemoteStatePeriod;
+  if (is_slow_due) {
+    next_slow_state_ = now + kSlowStatePeriod;
   }
   for (const std::string& peer : links_.Peers()) {
     peer_facts& known = peers_[peer];
@@ -389,7 +390,8 @@
         continue;
       }
     }
-    const bool is_due = known.is_near ? is_state_due : is_remote_due;
+    const bool is_relied_on = known.is_near && feed_.IsReader();
+    const bool is_due = is_relied_on ? is_state_due : is_slow_due;
     if (is_due || known.complete_to < complete_to) {
       links_.Send(peer, catalog_state_message{complete_to, AgeToTell()});
     }
--- a/Libraries/LibNode/catalog_control.h
+++ b/Libraries/LibNode/catalog_control.h
@@ -125,7 +125,7 @@
   std::map<std::string, peer_facts, std::less<>> peers_;
   std::uint64_t told_complete_to_ = 0;
   time_point next_state_{};
-  time_point next_remote_state_{};
+  time_point next_slow_state_{};
   bool is_fresh_ = false;
   bool is_serving_ = false;
   bool is_snapshot_due_ = false;
--- a/Libraries/LibRouting/upstream_choice.cc
+++ b/Libraries/LibRouting/upstream_choice.cc
@@ -119,6 +119,7 @@
   if (observations* const seen = Find(vm)) {
     seen->told[IndexOf(load.rank)] = {load.wait, load.service, now, 0};
     seen->told_slots = std::max(1U, load.slots);
+    seen->overhead += (load.overhead - seen->overhead) / kLatencyWeight;
   }
 }
 
@@ -342,7 +343,9 @@
   const observations& seen = seen_[index];
   const double failing = 1.0 + kFailureFactor * seen.failure_share;
   if (IsTold(now, seen)) {
-    return (ToldWait(now, seen) + ToldService(seen)) * failing;
+    return (ToldWait(now, seen) + ToldService(seen) +
+            SecondsOf(seen.overhead)) *
+           failing;
   }
   const double latency =
       std::max(SecondsOf(FadedLatency(now, seen)), SecondsOf(kLatencyFloor));
--- a/Libraries/LibRouting/upstream_choice.h
+++ b/Libraries/LibRouting/upstream_choice.h
@@ -56,6 +56,7 @@
   duration wait{};     ///< Until a request of that rank starts.
   duration service{};  ///< How long it takes then.
   std::uint32_t slots = 0;
+  duration overhead{};  ///< What the attempt took beyond its time at the owner.
 };
 
 /// Chooses among the upstreams of one service by what this thread has itself
@@ -119,6 +120,7 @@
     };
     std::array<told_wait, 4> told;
     std::uint32_t told_slots = 1;
+    duration overhead{};         ///< Smoothed: the way there, and slow owners.
     double failure_share = 0.0;  ///< Of what arrived there; smoothed.
   };
 
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -1,6 +1,7 @@
 #include "LibTraffic/entry.h"
 
 #include <algorithm>
+#include <array>
 #include <string>
 #include <vector>
 
@@ -49,20 +50,20 @@
 }
 
 std::optional<owner_load> ParseLoad(std::string_view text) {
-  const auto first = text.find(' ');
-  const auto second = text.find(' ', first + 1);
-  if (first == std::string_view::npos || second == std::string_view::npos) {
-    return std::nullopt;
-  }
-  const auto wait = ParseNumber(text.substr(0, first));
-  const auto service = ParseNumber(text.substr(first + 1, second - first - 1));
-  const auto slots = ParseNumber(text.substr(second + 1));
-  if (!wait || !service || !slots) {
-    return std::nullopt;
+  std::array<std::uint64_t, 4> numbers{};
+  for (std::uint64_t& number : numbers) {
+    const auto end = std::min(text.find(' '), text.size());
+    const auto read = ParseNumber(text.substr(0, end));
+    if (!read) {
+      return std::nullopt;
+    }
+    number = *read;
+    text.remove_prefix(std::min(end + 1, text.size()));
   }
-  return owner_load{std::chrono::microseconds{*wait},
-                    std::chrono::microseconds{*service},
-                    static_cast<std::uint32_t>(*slots)};
+  return owner_load{std::chrono::microseconds{numbers[0]},
+                    std::chrono::microseconds{numbers[1]},
+                    static_cast<std::uint32_t>(numbers[2]),
+                    std::chrono::microseconds{numbers[3]}};
 }
 
 // Reads the owner's verdict and load out of its answer.
@@ -259,6 +260,7 @@
           owner_request{asked_.request, watch_, asked_.deadline,
                         asked_.chosen_route.priority, asked_.objective});
       ended.load = state_.gate.Load(asked_.chosen_route.priority);
+      ended.load->held = state_.clock.Now() - begin;
     } else {
       ended =
           co_await RunAtOwner(worker_, asked_, chosen, result.attempts, watch_);
@@ -266,9 +268,10 @@
     const time_point end = state_.clock.Now();
     view_.chooser.End(end, chosen.vm, SignOf(ended), end - begin);
     if (ended.load) {
-      view_.chooser.Told(end, chosen.vm,
-                         {asked_.chosen_route.priority, ended.load->wait,
-                          ended.load->service, ended.load->slots});
+      view_.chooser.Told(
+          end, chosen.vm,
+          {asked_.chosen_route.priority, ended.load->wait, ended.load->service,
+           ended.load->slots, end - begin - ended.load->held});
     }
     arrivals_ += HasArrived(ended) ? 1 : 0;
     const attempt_judgement judged =
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -31,6 +31,7 @@
       co_return false;
     }
     const time_point now = state_.clock.Now();
+    begin_ = now;
     const http_request& head = parser_.get();
     id_ = FieldOf(head, kRequestIdField);
     is_head_ = head.method() == http::verb::head;
@@ -110,7 +111,10 @@
     return std::to_string(duration_cast<microseconds>(load.wait).count()) +
            " " +
            std::to_string(duration_cast<microseconds>(load.service).count()) +
-           " " + std::to_string(load.slots);
+           " " + std::to_string(load.slots) + " " +
+           std::to_string(
+               duration_cast<microseconds>(state_.clock.Now() - begin_)
+                   .count());
   }
 
   bool MayKeep() const {
@@ -142,6 +146,7 @@
   http_connection& asker_;
   http_request_parser parser_;
   std::string id_;
+  time_point begin_;
   time_point deadline_;
   time_point objective_{};
   request_priority priority_ = request_priority::kInteractive;
--- a/Tests/LibCatalog/test_catalog.cc
+++ b/Tests/LibCatalog/test_catalog.cc
@@ -86,7 +86,8 @@
     for (int at = 0; at < 300; ++at) {
       text += "{\"name\":\"r-" + std::to_string(at) +
               "\",\"timeout\":" + std::to_string(at == changed ? 7 : 1) +
-              ",\"match\":{\"prefix\":\"/" + std::to_string(at) + "/\"}},";
+              ",\"match\":{\"prefix\":\"/" + std::to_string(at) +
+              "/\"},\"action\":{\"service\":\"ledger\",\"attempts\":2}},";
     }
     return text + "{}]}";
   };
