--- a/Libraries/LibBase/clock.h
+++ b/Libraries/LibBase/clock.h
@@ -9,6 +9,11 @@
 using time_point = std::chrono::steady_clock::time_point;
 using duration = std::chrono::steady_clock::duration;
 
+/// A span in seconds, with its fraction.
+inline double SecondsOf(duration span) {
+  return std::chrono::duration<double>(span).count();
+}
+
 /// The source of time. Decisions never ask the operating system themselves, so
 /// that tests can pause and advance time.
 class runtime_clock {
--- a/Libraries/LibNode/catalog_control.h
+++ b/Libraries/LibNode/catalog_control.h
@@ -82,7 +82,7 @@
 
   void CallPlatform(time_point now);
   void List(bool may_be_stale);
-  void ListFrom(std::string after_key, bool may_be_stale);
+  void ListFrom(const std::string& after_key, bool may_be_stale);
   void TakePage(result<catalog_page> answered, bool may_be_stale);
   void Watch();
   void EndCall(const std::optional<error>& failure, bool has_changes);
--- /dev/null
+++ b/Libraries/LibNode/catalog_control_peers.cc
@@ -0,0 +1,226 @@
+// What a node's catalog control says to its peers, and takes from them.
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "LibBase/digest.h"
+#include "LibNode/catalog_control.h"
+
+namespace wagtailmount {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// The heartbeat of links. Source: three in a row are missed before a follower
+/// reads by itself (catalog_feed::settings::stale_after).
+constexpr milliseconds kStatePeriod{300};
+/// The like of links on which nobody relies for freshness: to other failure
+/// domains, and of nodes that are no readers.
+constexpr milliseconds kSlowStatePeriod{900};
+/// How long news that a peer has may still come by themselves. Source:
+/// catalog_feed's pause between two watches, and a margin.
+constexpr milliseconds kPeerPatience{350};
+/// A larger update is left to be read from the platform: passing it on to each
+/// node of a failure domain would hold up requests on a slow link. Source: 20
+/// nodes on a link of 5 Mbit/s within half a second.
+constexpr std::size_t kLargestUpdate = std::size_t{16} * 1024;
+}  // namespace
+
+// In each failure domain the VM of the lowest hash reads the platform, and the
+// next one stands by. Both have links to all nodes of their failure domain, and
+// the readers have links to each other.
+void catalog_control::ChoosePeers() {
+  std::map<std::string, std::string> reader_of;  // By failure domain.
+  std::vector<std::string> own_domain;
+  const auto is_before = [](const std::string& left, const std::string& right) {
+    return HashOf(left) < HashOf(right);
+  };
+  for (const neighbour& each : directory_.Neighbours()) {
+    std::string& best = reader_of[each.failure_domain];
+    if (best.empty() || is_before(each.vm, best)) {
+      best = each.vm;
+    }
+    if (each.failure_domain == settings_.failure_domain) {
+      own_domain.push_back(each.vm);
+    }
+  }
+  std::sort(own_domain.begin(), own_domain.end(), is_before);
+  const bool is_reader =
+      !own_domain.empty() && own_domain.front() == settings_.vm;
+  if (is_reader != feed_.IsReader()) {
+    feed_.SetReader(is_reader);
+    log_.Add(log_line{"reader-role"}.Flag("is_reader", is_reader));
+  }
+  std::set<std::string> wanted;
+  constexpr std::size_t kLinksInDomain = 2;
+  for (const std::string& vm : own_domain) {
+    if (wanted.size() < kLinksInDomain) {
+      wanted.insert(vm);
+    }
+  }
+  const bool is_alone = own_domain.size() <= 1;
+  if (is_reader || is_alone) {
+    for (const auto& [domain, vm] : reader_of) {
+      wanted.insert(vm);
+    }
+  }
+  wanted.erase(settings_.vm);
+  std::vector<wanted_peer> peers;
+  peers.reserve(wanted.size());
+  for (const std::string& vm : wanted) {
+    peers.push_back({vm, {vm, settings_.advertised_peer.port}});
+  }
+  links_.SetWanted(peers);
+}
+
+milliseconds catalog_control::AgeToTell() const {
+  const auto age = feed_.Age(clock_.Now());
+  return age ? std::min(*age, kUnknownSourceAge) : kUnknownSourceAge;
+}
+
+// Changes go out at once within the failure domain; others are told that there
+// are some, for they read the platform themselves and bytes between failure
+// domains are dear. The state goes out every while too, as heartbeat.
+void catalog_control::SendToPeers(time_point now) {
+  const std::uint64_t complete_to = catalog_.CompleteTo();
+  const bool is_state_due = now >= next_state_;
+  const bool is_slow_due = now >= next_slow_state_;
+  const bool is_news = complete_to != told_complete_to_;
+  if (!is_news && !is_state_due) {
+    return;
+  }
+  told_complete_to_ = complete_to;
+  if (is_state_due) {
+    next_state_ = now + kStatePeriod;
+  }
+  if (is_slow_due) {
+    next_slow_state_ = now + kSlowStatePeriod;
+  }
+  for (const std::string& peer : links_.Peers()) {
+    peer_facts& known = peers_[peer];
+    if (known.is_near && known.complete_to > 0 &&
+        known.complete_to < complete_to) {
+      catalog_update update = catalog_.UpdateAfter(known.complete_to);
+      if (!update.items.empty() && update.ContentBytes() <= kLargestUpdate &&
+          links_.Send(peer,
+                      catalog_update_message{std::move(update), AgeToTell()})) {
+        known.complete_to = complete_to;
+        continue;
+      }
+    }
+    const bool is_relied_on = known.is_near && feed_.IsReader();
+    const bool is_due = is_relied_on ? is_state_due : is_slow_due;
+    if (is_due || known.complete_to < complete_to) {
+      links_.Send(peer, catalog_state_message{complete_to, AgeToTell()});
+    }
+  }
+}
+
+// Most of the time the own reader brings the same a moment later.
+void catalog_control::RequestWhatIsLacking(time_point now) {
+  for (auto& [peer, known] : peers_) {
+    if (known.complete_to <= catalog_.CompleteTo()) {
+      known.ahead_since = time_point{};
+      continue;
+    }
+    if (known.ahead_since == time_point{}) {
+      known.ahead_since = now;
+    }
+    if (now - known.ahead_since < kPeerPatience) {
+      continue;
+    }
+    // Near ones bring what they can by themselves: this is too much for a link.
+    known.ahead_since = now;
+    if (known.is_near) {
+      feed_.NeedOwnRead();
+    } else {
+      links_.Send(peer, catalog_request_message{catalog_.CompleteTo()});
+    }
+    return;
+  }
+}
+
+hello_message catalog_control::MakeHello(std::string_view) {
+  hello_message hello;
+  hello.sender = {.vm = settings_.vm,
+                  .region = settings_.region,
+                  .failure_domain = settings_.failure_domain,
+                  .service = settings_.service,
+                  .peer = settings_.advertised_peer,
+                  .hop = settings_.advertised_hop,
+                  .incarnation = static_cast<std::uint64_t>(started_),
+                  .state = vm_state::kServing};
+  return hello;
+}
+
+void catalog_control::OnPeerUp(const std::string& peer_vm,
+                               const hello_message& hello) {
+  log_.Add(log_line{"peer-up"}.Text("peer", peer_vm));
+  peers_[peer_vm] = {
+      .complete_to = 0,
+      .is_near = hello.sender.failure_domain == settings_.failure_domain,
+      .ahead_since = {}};
+  links_.Send(peer_vm,
+              catalog_state_message{catalog_.CompleteTo(), AgeToTell()});
+}
+
+void catalog_control::OnPeerDown(const std::string& peer_vm,
+                                 std::string_view reason) {
+  log_.Add(log_line{"peer-down"}.Text("peer", peer_vm).Text("reason", reason));
+  peers_.erase(peer_vm);
+}
+
+void catalog_control::OnPeerMessage(const std::string& peer_vm,
+                                    const message& content) {
+  if (const auto* state = std::get_if<catalog_state_message>(&content)) {
+    Handle(peer_vm, *state);
+  } else if (const auto* request =
+                 std::get_if<catalog_request_message>(&content)) {
+    Handle(peer_vm, *request);
+  } else if (const auto* sent = std::get_if<catalog_update_message>(&content)) {
+    Handle(peer_vm, *sent);
+  }
+}
+
+void catalog_control::Handle(const std::string& peer_vm,
+                             const catalog_state_message& state) {
+  peers_[peer_vm].complete_to = state.complete_to;
+  if (state.complete_to == catalog_.CompleteTo()) {
+    feed_.HearOfPeer(clock_.Now(), state.source_age);
+  } else {
+    RequestWhatIsLacking(clock_.Now());
+  }
+}
+
+void catalog_control::Handle(const std::string& peer_vm,
+                             const catalog_request_message& request) {
+  if (catalog_.CompleteTo() <= request.after) {
+    return;
+  }
+  if (links_.Send(peer_vm,
+                  catalog_update_message{catalog_.UpdateAfter(request.after),
+                                         AgeToTell()})) {
+    peers_[peer_vm].complete_to = catalog_.CompleteTo();
+  }
+}
+
+void catalog_control::Handle(const std::string& peer_vm,
+                             const catalog_update_message& sent) {
+  peer_facts& known = peers_[peer_vm];
+  known.complete_to = std::max(known.complete_to, sent.update.complete_to);
+  if (sent.update.after > catalog_.CompleteTo()) {
+    links_.Send(peer_vm, catalog_request_message{catalog_.CompleteTo()});
+    return;
+  }
+  const auto changed = catalog_.TakeUpdate(sent.update);
+  if (catalog_.CompleteTo() < sent.update.complete_to) {
+    feed_.NeedOwnRead();
+  }
+  if (catalog_.CompleteTo() == sent.update.complete_to) {
+    feed_.HearOfPeer(clock_.Now(), sent.source_age);
+  }
+  TakeChanges(changed);
+}
+
+}  // namespace wagtailmount
--- /dev/null
+++ b/Libraries/LibRouting/told_load.cc
@@ -0,0 +1,64 @@
+// What owners tell of their load, in the choice of upstreams.
+#include <algorithm>
+#include <cmath>
+#include <tuple>
+
+#include "LibRouting/upstream_choice.h"
+
+namespace wagtailmount {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// For so long the load that an owner told goes before own observations.
+constexpr seconds kToldTime{3};
+// In that time half of the wait that was told has been worked off. Source: the
+// order of a burst's length; asking sooner is mostly in vain.
+constexpr milliseconds kToldHalfLife{1'000};
+// The weight of the newest overhead, as a divisor.
+constexpr int kOverheadWeight = 4;
+
+}  // namespace
+
+void upstream_chooser::Told(time_point now, std::string_view vm,
+                            const told_load& load) {
+  if (observations* const seen = Find(vm)) {
+    seen->told[IndexOf(load.rank)] = {load.wait, load.service, now, 0};
+    seen->told_slots = std::max(1U, load.slots);
+    seen->overhead += (load.overhead - seen->overhead) / kOverheadWeight;
+  }
+}
+
+std::size_t upstream_chooser::IndexOf(request_priority rank) const {
+  return std::min<std::size_t>(
+      static_cast<std::size_t>(rank),
+      std::tuple_size_v<decltype(observations::told)> - 1);
+}
+
+bool upstream_chooser::IsTold(time_point now, const observations& seen) const {
+  const auto& told = seen.told[IndexOf(wish_.rank)];
+  return told.at != time_point{} && now - told.at < kToldTime &&
+         told.service > duration::zero();
+}
+
+double upstream_chooser::ToldService(const observations& seen) const {
+  return SecondsOf(seen.told[IndexOf(wish_.rank)].service);
+}
+
+double upstream_chooser::ToldWait(time_point now,
+                                  const observations& seen) const {
+  const auto& told = seen.told[IndexOf(wish_.rank)];
+  const double kept =
+      std::exp2(-SecondsOf(now - told.at) / SecondsOf(kToldHalfLife));
+  return SecondsOf(told.wait) * kept +
+         ToldService(seen) * told.begun_since / seen.told_slots;
+}
+
+bool upstream_chooser::IsFull(time_point now, const observations& seen) const {
+  return wish_.longest_wait != duration::max() && IsTold(now, seen) &&
+         ToldWait(now, seen) >= SecondsOf(wish_.longest_wait);
+}
+
+}  // namespace wagtailmount
--- a/Libraries/LibRouting/upstream_choice.cc
+++ b/Libraries/LibRouting/upstream_choice.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <tuple>
 
 namespace wagtailmount {
 
@@ -37,11 +36,6 @@
 // An answer expected within that part of the objective is taken to be on time.
 // Source: durations spread by about a third around their mean.
 constexpr double kObjectiveShare = 0.7;
-// For so long the load that an owner told goes before own observations.
-constexpr seconds kToldTime{3};
-// In that time half of the wait that was told has been worked off. Source: the
-// order of a burst's length; asking sooner is mostly in vain.
-constexpr milliseconds kToldHalfLife{1'000};
 // How much dearer an upstream is of which all requests fail.
 constexpr double kFailureFactor = 8.0;
 // The weight of the newest outcome in the share of failures, as a divisor.
@@ -57,10 +51,6 @@
 // Below this, differences between latencies are noise.
 constexpr microseconds kLatencyFloor{200};
 
-double SecondsOf(duration span) {
-  return std::chrono::duration<double>(span).count();
-}
-
 double WarmthOf(time_point now, time_point since, duration slow_start) {
   if (slow_start <= duration::zero() || now >= since + slow_start) {
     return 1.0;
@@ -114,15 +104,6 @@
   return std::nullopt;
 }
 
-void upstream_chooser::Told(time_point now, std::string_view vm,
-                            const told_load& load) {
-  if (observations* const seen = Find(vm)) {
-    seen->told[IndexOf(load.rank)] = {load.wait, load.service, now, 0};
-    seen->told_slots = std::max(1U, load.slots);
-    seen->overhead += (load.overhead - seen->overhead) / kLatencyWeight;
-  }
-}
-
 void upstream_chooser::Begin(std::string_view vm) {
   if (observations* const seen = Find(vm)) {
     ++seen->outstanding;
@@ -353,36 +334,6 @@
   return latency * (seen.outstanding + 1.0) * pressed;
 }
 
-std::size_t upstream_chooser::IndexOf(request_priority rank) const {
-  return std::min<std::size_t>(
-      static_cast<std::size_t>(rank),
-      std::tuple_size_v<decltype(observations::told)> - 1);
-}
-
-bool upstream_chooser::IsTold(time_point now, const observations& seen) const {
-  const auto& told = seen.told[IndexOf(wish_.rank)];
-  return told.at != time_point{} && now - told.at < kToldTime &&
-         told.service > duration::zero();
-}
-
-double upstream_chooser::ToldService(const observations& seen) const {
-  return SecondsOf(seen.told[IndexOf(wish_.rank)].service);
-}
-
-double upstream_chooser::ToldWait(time_point now,
-                                  const observations& seen) const {
-  const auto& told = seen.told[IndexOf(wish_.rank)];
-  const double kept =
-      std::exp2(-SecondsOf(now - told.at) / SecondsOf(kToldHalfLife));
-  return SecondsOf(told.wait) * kept +
-         ToldService(seen) * told.begun_since / seen.told_slots;
-}
-
-bool upstream_chooser::IsFull(time_point now, const observations& seen) const {
-  return wish_.longest_wait != duration::max() && IsTold(now, seen) &&
-         ToldWait(now, seen) >= SecondsOf(wish_.longest_wait);
-}
-
 duration upstream_chooser::FadedLatency(time_point now,
                                         const observations& seen) const {
   if (seen.latency == duration::zero()) {
