--- a/Libraries/LibCatalog/upstream_directory.cc
+++ b/Libraries/LibCatalog/upstream_directory.cc
@@ -104,6 +104,7 @@
     built->upstreams.push_back(std::move(added));
   }
   std::vector<std::shared_ptr<const service_upstreams>> all;
+  all.reserve(services.size());
   for (auto& [service, built] : services) {
     all.push_back(std::move(built));
   }
--- a/Libraries/LibNode/catalog_control.h
+++ b/Libraries/LibNode/catalog_control.h
@@ -119,7 +119,6 @@
   std::vector<registered_upstream> registered_;
   std::vector<catalog_item> listed_;
   std::uint64_t listed_from_ = 0;
-  std::uint64_t call_number_ = 0;
   std::uint64_t platform_calls_ = 0;
   std::uint64_t platform_failures_ = 0;
   std::map<std::string, peer_facts, std::less<>> peers_;
--- a/Libraries/LibNode/metrics_text.cc
+++ b/Libraries/LibNode/metrics_text.cc
@@ -45,7 +45,12 @@
     const std::string bound = at < kLatencyBuckets.size()
                                   ? std::to_string(kLatencyBuckets[at].count())
                                   : "+Inf";
-    AddLine(text, "latency_ms_bucket", "{" + service + ",le=\"" + bound + "\"}",
+    std::string labels = "{";
+    labels += service;
+    labels += ",le=\"";
+    labels += bound;
+    labels += "\"}";
+    AddLine(text, "latency_ms_bucket", labels,
             static_cast<std::int64_t>(below));
   }
   AddLine(text, "latency_ms_count", "{" + service + "}",
