--- /dev/null
+++ b/Tests/LibSpread/spreader_bench.h
@@ -0,0 +1,84 @@
+#pragma once
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+#include "LibSpread/spreader.h"
+#include "Tests/LibSpread/versions.h"
+
+namespace wagtailmount::testing {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// One spreader with a hand on everything it hears and says.
+struct bench {
+  bench() : node({.vm = "n"}, 1, now) {}
+
+  void Take(spread_effects&& effects) {
+    for (auto& effect : effects) {
+      if (auto* send = std::get_if<send_effect>(&effect)) {
+        sent.push_back(*send);
+      } else if (auto* in_force = std::get_if<in_force_effect>(&effect)) {
+        versions.push_back(in_force->version->Version().revision);
+      } else if (auto* refused = std::get_if<refused_effect>(&effect)) {
+        refusals.push_back(*refused);
+      } else {
+        ++conflicts;
+      }
+    }
+  }
+
+  void Up(const std::string& vm, const version_id& held = {}) {
+    hello_message hello;
+    hello.sender.vm = vm;
+    hello.held = held;
+    hello.newest_seen = held.revision;
+    Take(node.PeerUp(now, vm, hello));
+  }
+
+  void Hear(const std::string& vm, const message& content) {
+    Take(node.Handle(now, vm, content));
+  }
+
+  void Offer(const std::string& vm, std::uint64_t revision,
+             const std::vector<config_file>& files) {
+    Hear(vm, offer_message{VersionOf(revision, files), 1, milliseconds{0}});
+  }
+
+  /// A peer gives a version as an honest one would.
+  void Give(const std::string& vm, std::uint64_t revision,
+            const std::vector<config_file>& files) {
+    Hear(vm, ManifestOf(revision, files));
+    Hear(vm, BodiesOf(files));
+  }
+
+  void Read(std::uint64_t revision) {
+    Take(node.AcceptFromSource(now, revision, FolderAt(revision)));
+  }
+
+  void Pass(milliseconds time) {
+    for (milliseconds passed{0}; passed < time; passed += milliseconds{100}) {
+      now += milliseconds{100};
+      Take(node.Tick(now));
+    }
+  }
+
+  template <typename T>
+  std::size_t CountSent(const std::string& vm) const {
+    return static_cast<std::size_t>(
+        std::count_if(sent.begin(), sent.end(), [&](const send_effect& each) {
+          return each.peer_vm == vm && std::holds_alternative<T>(each.content);
+        }));
+  }
+
+  time_point now{seconds{1000}};
+  spreader node;
+  std::vector<send_effect> sent;
+  std::vector<std::uint64_t> versions;
+  std::vector<refused_effect> refusals;
+  int conflicts = 0;
+};
+
+}  // namespace wagtailmount::testing
