LibLoad: Write and read an owner's load in one place, and a caller's time once

Cause: the text of a load was written in the hop's session and read in the entry, without a test; a caller's deadline was parsed three times for one request, and one beyond the clock's range would have overflowed. Ruled out: a field each, which is more bytes. Change: LoadText and ParseLoad side by side, with malformed texts in a table; SetTimes sets all of a request's times. Before: no test. After: AnOwnersLoadIsReadBackAsWritten passes.

--- /dev/null
+++ b/Libraries/LibLoad/load_text.cc
@@ -0,0 +1,53 @@
+#include "LibLoad/load_text.h"
+
+#include <array>
+#include <charconv>
+#include <limits>
+
+namespace wagtailmount {
+
+namespace {
+
+using std::chrono::duration_cast;
+using std::chrono::microseconds;
+
+/// More is no load that an owner can have.
+constexpr std::uint64_t kMostNumber = std::numeric_limits<std::uint32_t>::max();
+
+}  // namespace
+
+std::string LoadText(const owner_load& load) {
+  std::string text =
+      std::to_string(duration_cast<microseconds>(load.wait).count());
+  text += ' ';
+  text += std::to_string(duration_cast<microseconds>(load.service).count());
+  text += ' ';
+  text += std::to_string(load.slots);
+  text += ' ';
+  text += std::to_string(duration_cast<microseconds>(load.held).count());
+  return text;
+}
+
+std::optional<owner_load> ParseLoad(std::string_view text) {
+  std::array<std::uint64_t, 4> numbers{};
+  const char* at = text.data();
+  const char* const end = text.data() + text.size();
+  for (std::size_t index = 0; index < numbers.size(); ++index) {
+    if (index > 0 && (at == end || *at++ != ' ')) {
+      return std::nullopt;
+    }
+    const auto [after, status] = std::from_chars(at, end, numbers[index]);
+    if (status != std::errc{} || numbers[index] > kMostNumber) {
+      return std::nullopt;
+    }
+    at = after;
+  }
+  if (at != end) {
+    return std::nullopt;
+  }
+  return owner_load{microseconds{numbers[0]}, microseconds{numbers[1]},
+                    static_cast<std::uint32_t>(numbers[2]),
+                    microseconds{numbers[3]}};
+}
+
+}  // namespace wagtailmount
--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include "LibLoad/retry.h"
 #include "LibLoad/return_time.h"
 #include "LibTraffic/answers.h"
@@ -13,6 +15,10 @@
 // The patience that a caller is taken to have when its route is not known.
 constexpr std::chrono::seconds kUnknownPatience{2};
 
+// What callers say beyond that is taken for as long. Source: no route's timeout
+// is near an hour.
+constexpr std::uint64_t kLongestPatienceMs = 3'600'000;
+
 // Of so many requests that went as they should, one is logged.
 constexpr std::uint64_t kPlainRequestsALine = 64;
 
@@ -61,16 +67,6 @@
   return *chosen.target;
 }
 
-time_point DeadlineOf(std::string_view wish, const route& chosen,
-                      time_point now) {
-  std::chrono::milliseconds allowed = chosen.deadline;
-  const auto wished = ParseNumber(wish);
-  if (wished && *wished < static_cast<std::uint64_t>(allowed.count())) {
-    allowed = std::chrono::milliseconds{*wished};
-  }
-  return now + allowed;
-}
-
 // One request of a caller, from its header section to its answer.
 class caller_request {
  public:
@@ -119,18 +115,7 @@
   }
 
   task<next_step> Run(const routing_snapshot& snapshot, const route& chosen) {
-    begin_ = state_.clock.Now();
-    const request_fields& fields = state_.settings.fields;
-    const time_point deadline = DeadlineOf(
-        FieldOf(parser_.get(), fields.caller_deadline), chosen, begin_);
-    deadline_ = deadline;
-    const auto patience =
-        ParseNumber(FieldOf(parser_.get(), fields.caller_deadline));
-    caller_deadline_ =
-        patience ? begin_ + std::chrono::milliseconds{*patience} : deadline;
-    objective_ =
-        begin_ + chosen.latency_objective -
-        WaitedBefore(FieldOf(parser_.get(), fields.caller_deadline), chosen);
+    SetTimes(chosen);
     const service& target = DrawTarget(chosen, worker_.random);
     outgoing_request request;
     const body_status read =
@@ -141,8 +126,10 @@
     RemoveConnectionAndOwnFields(request.message);
     SetFraming(request, parser_);
     SetField(request.message, kRequestIdField, id_);
-    if (!fields.caller_service.empty()) {
-      SetField(request.message, fields.caller_service,
+    const std::string_view caller_service =
+        state_.settings.fields.caller_service;
+    if (!caller_service.empty()) {
+      SetField(request.message, caller_service,
                traffic_state::OwnService(state_.settings, snapshot));
     }
     if (chosen.headers != nullptr) {
@@ -154,7 +141,7 @@
         chosen.repeatable, ToStandard(request.message.method_string()));
     entry_result result = co_await RunRequest(
         worker_, entry_request{request, caller_, chosen, target, snapshot,
-                               deadline, ObjectiveOf(chosen), is_idempotent});
+                               deadline_, ObjectiveOf(chosen), is_idempotent});
     Record(chosen, target, result);
     if (!result.answer) {
       co_return co_await Refuse(result.proved, result.cause);
@@ -238,12 +225,22 @@
     co_return is_kept ? next_step::kKeep : next_step::kCloseGently;
   }
 
-  std::chrono::milliseconds WaitedBefore(std::string_view wish,
-                                         const route& chosen) {
-    const auto left = ParseNumber(wish);
-    return left ? worker_.patience.WaitedBefore(
-                      chosen.name, std::chrono::milliseconds{*left})
-                : std::chrono::milliseconds{0};
+  // By the route, and by how long the caller says that it will wait.
+  void SetTimes(const route& chosen) {
+    using std::chrono::milliseconds;
+    begin_ = state_.clock.Now();
+    deadline_ = begin_ + chosen.deadline;
+    caller_deadline_ = deadline_;
+    objective_ = begin_ + chosen.latency_objective;
+    const auto told = ParseNumber(
+        FieldOf(parser_.get(), state_.settings.fields.caller_deadline));
+    if (!told) {
+      return;
+    }
+    const milliseconds patience{std::min(*told, kLongestPatienceMs)};
+    caller_deadline_ = begin_ + patience;
+    deadline_ = std::min(deadline_, caller_deadline_);
+    objective_ -= worker_.patience.WaitedBefore(chosen.name, patience);
   }
 
   time_point ObjectiveOf(const route& chosen) const {
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -1,10 +1,10 @@
 #include "LibTraffic/entry.h"
 
 #include <algorithm>
-#include <array>
 #include <string>
 #include <vector>
 
+#include "LibLoad/load_text.h"
 #include "LibLoad/retry.h"
 #include "LibTraffic/header_fields.h"
 #include "LibTraffic/owner.h"
@@ -49,23 +49,6 @@
   }
 }
 
-std::optional<owner_load> ParseLoad(std::string_view text) {
-  std::array<std::uint64_t, 4> numbers{};
-  for (std::uint64_t& number : numbers) {
-    const auto end = std::min(text.find(' '), text.size());
-    const auto read = ParseNumber(text.substr(0, end));
-    if (!read) {
-      return std::nullopt;
-    }
-    number = *read;
-    text.remove_prefix(std::min(end + 1, text.size()));
-  }
-  return owner_load{std::chrono::microseconds{numbers[0]},
-                    std::chrono::microseconds{numbers[1]},
-                    static_cast<std::uint32_t>(numbers[2]),
-                    std::chrono::microseconds{numbers[3]}};
-}
-
 // Reads the owner's verdict and load out of its answer.
 void RecognizeVerdict(attempt_result& result) {
   if (!result.answer) {
--- a/Libraries/LibTraffic/header_fields.h
+++ b/Libraries/LibTraffic/header_fields.h
@@ -25,9 +25,7 @@
 inline constexpr std::string_view kHopPriorityField =
     "Wagtailmount-Hop-Priority";
 inline constexpr std::string_view kHopAttemptField = "Wagtailmount-Hop-Attempt";
-/// In an owner's answers: its load, as four whole numbers: microseconds of
-/// wait, microseconds of service, slots, microseconds for which it had the
-/// request.
+/// In an owner's answers: its load, as LoadText() writes it.
 inline constexpr std::string_view kLoadField = "Wagtailmount-Load";
 /// In a refusal: some of the request was sent to the backend server.
 inline constexpr std::string_view kArrivedField = "Wagtailmount-Arrived";
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -1,3 +1,4 @@
+#include "LibLoad/load_text.h"
 #include "LibLoad/retry.h"
 #include "LibTraffic/answers.h"
 #include "LibTraffic/header_fields.h"
@@ -96,7 +97,7 @@
     }
     const bool is_kept = MayKeep();
     FinishAnswer(*result.answer, id_, is_head_, is_kept);
-    SetField(result.answer->message, kLoadField, LoadText());
+    SetField(result.answer->message, kLoadField, OwnLoadText());
     const bool is_written = co_await WriteAnswer(asker_, *result.answer);
     if (!is_written) {
       ++state_.counters.late_answers_dropped;
@@ -104,17 +105,10 @@
     co_return is_written&& is_kept;
   }
 
-  std::string LoadText() const {
-    using std::chrono::duration_cast;
-    using std::chrono::microseconds;
-    const owner_load load = state_.gate.Load(priority_);
-    return std::to_string(duration_cast<microseconds>(load.wait).count()) +
-           " " +
-           std::to_string(duration_cast<microseconds>(load.service).count()) +
-           " " + std::to_string(load.slots) + " " +
-           std::to_string(
-               duration_cast<microseconds>(state_.clock.Now() - begin_)
-                   .count());
+  std::string OwnLoadText() const {
+    owner_load load = state_.gate.Load(priority_);
+    load.held = state_.clock.Now() - begin_;
+    return LoadText(load);
   }
 
   bool MayKeep() const {
@@ -132,7 +126,7 @@
     refusal.is_kept = is_kept;
     refusal.is_head = is_head_;
     refusal.has_arrived = has_arrived;
-    const std::string load = LoadText();
+    const std::string load = OwnLoadText();
     refusal.load = load;
     const bool is_written = co_await WriteRefusal(asker_, refusal);
     if (is_written && !is_kept) {
--- a/Libraries/LibTraffic/request_fields.h
+++ b/Libraries/LibTraffic/request_fields.h
@@ -5,7 +5,8 @@
 namespace wagtailmount {
 
 /// How callers and backend servers speak of a request: mostly header fields.
-/// All names must outlive the traffic server. An empty name: not spoken of.
+/// The defaults are the project's own interface, docs/REQUESTS.md. All names
+/// must outlive the traffic server. An empty name: not spoken of.
 struct request_fields {
   /// From callers: the milliseconds that they will wait.
   std::string_view caller_deadline = "Wagtailmount-Deadline-Ms";
--- a/Tests/LibLoad/test_return.cc
+++ b/Tests/LibLoad/test_return.cc
@@ -2,6 +2,7 @@
 #include <set>
 
 #include "LibLoad/caller_patience.h"
+#include "LibLoad/load_text.h"
 #include "LibLoad/retry_budget.h"
 #include "LibLoad/return_time.h"
 
@@ -41,6 +42,20 @@
       (patience.WaitedBefore("a", milliseconds{2'500}) == milliseconds{0}));
 }
 
+BOOST_AUTO_TEST_CASE(AnOwnersLoadIsReadBackAsWritten) {
+  const owner_load load{milliseconds{33}, milliseconds{521}, 18,
+                        milliseconds{7}};
+  const auto read = ParseLoad(LoadText(load));
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST((read->wait == load.wait && read->service == load.service));
+  BOOST_TEST((read->slots == load.slots && read->held == load.held));
+  for (const char* const malformed :
+       {"", "1", "1 2 3", "1 2 3 ", "1 2 3 4 5", "1 2 3 -4", "1  2 3 4",
+        "a 2 3 4", "1 2 3 4x", "1 2 3 99999999999999999999"}) {
+    BOOST_TEST(!ParseLoad(malformed), malformed);
+  }
+}
+
 // Twelve nodes spend their parts at once, after a long calm.
 BOOST_AUTO_TEST_CASE(AllNodesTogetherStayWithinTheFleetsRetries) {
   constexpr int kNodes = 12;
