LibNode: Start the traffic of both kinds of node by one function

Ruled out: a common base class, for only the start is alike. Change: TrafficSettings and SeedOf; the unread member goes.

--- a/Libraries/LibCatalog/upstream_directory.cc
+++ b/Libraries/LibCatalog/upstream_directory.cc
@@ -100,7 +100,6 @@
     added.incarnation = IncarnationOf(held.registered);
     added.is_leaving = record.is_leaving;
     added.backend_server_id = id;
-    added.slots = record.slots;
     built->upstreams.push_back(std::move(added));
   }
   std::vector<std::shared_ptr<const service_upstreams>> all;
--- a/Libraries/LibMembership/membership_upstreams.cc
+++ b/Libraries/LibMembership/membership_upstreams.cc
@@ -56,7 +56,7 @@
                                 record.hop, record.incarnation,
                                 record.state == vm_state::kLeaving,
                                 IsSuspect(*held),
-                                /*backend_server_id=*/{}, /*slots=*/0});
+                                /*backend_server_id=*/{}});
   }
   return built;
 }
--- a/Libraries/LibNode/catalog_node.cc
+++ b/Libraries/LibNode/catalog_node.cc
@@ -3,7 +3,7 @@
 #include <csignal>
 #include <utility>
 
-#include "LibBase/digest.h"
+#include "LibNode/traffic_start.h"
 
 namespace wagtailmount {
 
@@ -39,22 +39,12 @@
 }
 
 result<void> catalog_node::Open() {
-  const auto seed = HashOf(settings_.vm) ^
-                    static_cast<std::uint64_t>(clock_.UnixMilliseconds());
-  auto traffic =
-      traffic_server::Start({.vm = settings_.vm,
-                             .failure_domain = settings_.failure_domain,
-                             .region = settings_.region,
-                             .service = settings_.service,
-                             .caller = settings_.caller,
-                             .hop = settings_.hop,
-                             .backend_server = settings_.backend_server,
-                             .threads = settings_.traffic_threads,
-                             .seed = seed,
-                             .fields = adapter_.fields,
-                             .retries = {.share = settings_.retry_share,
-                                         .slack = settings_.retry_slack}},
-                            clock_, &log_);
+  const std::uint64_t seed = SeedOf(settings_, clock_);
+  traffic_settings chosen = TrafficSettings(settings_, seed);
+  chosen.fields = adapter_.fields;
+  chosen.retries = {.share = settings_.retry_share,
+                    .slack = settings_.retry_slack};
+  auto traffic = traffic_server::Start(chosen, clock_, &log_);
   if (!traffic) {
     return tl::unexpected(traffic.error());
   }
--- a/Libraries/LibNode/node.cc
+++ b/Libraries/LibNode/node.cc
@@ -5,6 +5,8 @@
 #include <csignal>
 #include <utility>
 
+#include "LibNode/traffic_start.h"
+
 namespace wagtailmount {
 
 namespace {
@@ -30,21 +32,9 @@
 }
 
 result<void> node::Open() {
-  const auto seed = HashOf(settings_.vm) ^
-                    static_cast<std::uint64_t>(clock_.UnixMilliseconds());
+  const std::uint64_t seed = SeedOf(settings_, clock_);
   auto traffic =
-      traffic_server::Start({.vm = settings_.vm,
-                             .failure_domain = settings_.failure_domain,
-                             .region = settings_.region,
-                             .service = settings_.service,
-                             .caller = settings_.caller,
-                             .hop = settings_.hop,
-                             .backend_server = settings_.backend_server,
-                             .threads = settings_.traffic_threads,
-                             .seed = seed,
-                             .fields = {},
-                             .retries = {}},
-                            clock_);
+      traffic_server::Start(TrafficSettings(settings_, seed), clock_);
   if (!traffic) {
     return tl::unexpected(traffic.error());
   }
--- /dev/null
+++ b/Libraries/LibNode/traffic_start.cc
@@ -0,0 +1,28 @@
+#include "LibNode/traffic_start.h"
+
+#include "LibBase/digest.h"
+
+namespace wagtailmount {
+
+std::uint64_t SeedOf(const node_settings& settings,
+                     const runtime_clock& clock) {
+  return HashOf(settings.vm) ^
+         static_cast<std::uint64_t>(clock.UnixMilliseconds());
+}
+
+traffic_settings TrafficSettings(const node_settings& settings,
+                                 std::uint64_t seed) {
+  return {.vm = settings.vm,
+          .failure_domain = settings.failure_domain,
+          .region = settings.region,
+          .service = settings.service,
+          .caller = settings.caller,
+          .hop = settings.hop,
+          .backend_server = settings.backend_server,
+          .threads = settings.traffic_threads,
+          .seed = seed,
+          .fields = {},
+          .retries = {}};
+}
+
+}  // namespace wagtailmount
--- a/Libraries/LibRouting/routing_snapshot.h
+++ b/Libraries/LibRouting/routing_snapshot.h
@@ -26,7 +26,6 @@
                                   ///< nothing better is left.
   std::string backend_server_id;  ///< Of the start that is meant; empty where
                                   ///< the platform gives none.
-  std::uint32_t slots = 0;        ///< Its backend server's; 0 when not known.
 };
 
 /// What this node knows of the backend server on its own VM.
