LibRouting: Send short messages out of a failure domain and keep the long ones

Cause: where the one upstream of a failure domain is slow, its owner's callers sent long and short requests away alike, from 0.7 of the objective on. Change: a request leaves if its gain in the chance of a timely answer pays for its bytes, known from its body and learned from its route's answers. A domain of which nothing is known yet keeps its requests, as its owners refuse what they can't carry. Test: the slow domain replayed, fails without the price of bytes.

--- /dev/null
+++ b/Libraries/LibRouting/distant_offer.cc
@@ -0,0 +1,42 @@
+#include "LibRouting/distant_offer.h"
+
+#include <algorithm>
+
+namespace wagtailmount {
+
+namespace {
+
+// Between these parts of the objective the chance of lateness rises from 0 to
+// 1. Source: durations spread by a third to a half around their mean.
+constexpr double kSurelyOnTime = 0.6;
+constexpr double kSurelyLate = 1.3;
+// The gain in that chance that pays for a KiB between failure domains. Source:
+// the users' price of bytes against the worth of a late answer.
+constexpr double kGainForKilobyte = 0.2;
+// However long the message, so much gain pays for the way.
+constexpr double kMostGainAsked = 0.6;
+// Between regions the way is longer and dearer.
+constexpr double kRegionFactor = 3.0;
+constexpr double kBytesInKilobyte = 1024.0;
+
+}  // namespace
+
+double ChanceOfLateness(duration expected, duration objective_left) {
+  if (objective_left <= duration::zero()) {
+    return 1.0;
+  }
+  const double part = SecondsOf(expected) / SecondsOf(objective_left);
+  return std::clamp((part - kSurelyOnTime) / (kSurelyLate - kSurelyOnTime), 0.0,
+                    1.0);
+}
+
+bool IsWorthItsBytes(const distant_offer& offer) {
+  const double gain = ChanceOfLateness(offer.near_time, offer.objective_left) -
+                      ChanceOfLateness(offer.far_time, offer.objective_left);
+  const double for_bytes = kGainForKilobyte * static_cast<double>(offer.bytes) /
+                           kBytesInKilobyte *
+                           (offer.leaves_region ? kRegionFactor : 1.0);
+  return gain > std::min(for_bytes, kMostGainAsked);
+}
+
+}  // namespace wagtailmount
--- a/Libraries/LibRouting/told_load.cc
+++ b/Libraries/LibRouting/told_load.cc
@@ -1,8 +1,10 @@
 // What owners tell of their load, in the choice of upstreams.
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <tuple>
 
+#include "LibRouting/distant_offer.h"
 #include "LibRouting/upstream_choice.h"
 
 namespace wagtailmount {
@@ -19,6 +21,13 @@
 constexpr milliseconds kToldHalfLife{1'000};
 // The weight of the newest overhead, as a divisor.
 constexpr int kOverheadWeight = 4;
+// How much sooner the answer to a request that is late already must be expected
+// from farther away: by the distance. Source: what a caller notices, a good
+// part of the usual objectives of half a second.
+constexpr std::array<milliseconds, 3> kDistanceCost{
+    milliseconds{0}, milliseconds{150}, milliseconds{400}};
+// The distance from which another region begins.
+constexpr std::size_t kElsewhere = 2;
 
 }  // namespace
 
@@ -61,4 +70,20 @@
          ToldWait(now, seen) >= SecondsOf(wish_.longest_wait);
 }
 
+bool upstream_chooser::IsTimelyEnough(double near_seconds, double far_seconds,
+                                      std::size_t distance) const {
+  if (wish_.objective_left <= duration::zero()) {
+    return far_seconds + SecondsOf(kDistanceCost[distance]) < near_seconds;
+  }
+  const auto time_of = [](double seconds_long) {
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(seconds_long));
+  };
+  return IsWorthItsBytes({.near_time = time_of(near_seconds),
+                          .far_time = time_of(far_seconds),
+                          .objective_left = wish_.objective_left,
+                          .bytes = wish_.bytes,
+                          .leaves_region = distance == kElsewhere});
+}
+
 }  // namespace wagtailmount
--- a/Libraries/LibRouting/upstream_choice.cc
+++ b/Libraries/LibRouting/upstream_choice.cc
@@ -28,14 +28,6 @@
 // How much dearer the nearest upstreams must be before work leaves the failure
 // domain, or the region.
 constexpr std::array<double, 3> kDistanceFactor{1.0, 2.0, 4.0};
-// The like where owners tell their load: how much sooner an answer must be
-// expected from farther away. Source: what a caller notices, a good part of the
-// usual objectives of half a second; bytes between failure domains are dear.
-constexpr std::array<milliseconds, 3> kDistanceCost{
-    milliseconds{0}, milliseconds{150}, milliseconds{400}};
-// An answer expected within that part of the objective is taken to be on time.
-// Source: durations spread by about a third around their mean.
-constexpr double kObjectiveShare = 0.7;
 // How much dearer an upstream is of which all requests fail.
 constexpr double kFailureFactor = 8.0;
 // The weight of the newest outcome in the share of failures, as a divisor.
@@ -275,13 +267,8 @@
                                      std::size_t far,
                                      const upstream& far_upstream) const {
   const auto distance = static_cast<std::size_t>(DistanceOf(far_upstream));
-  if (IsTold(now, seen_[near])) {
-    // What is near and on time is good enough, even if another were sooner.
-    if (CostOf(now, near) < SecondsOf(wish_.objective_left) * kObjectiveShare) {
-      return false;
-    }
-    return CostOf(now, far) + SecondsOf(kDistanceCost[distance]) <
-           CostOf(now, near);
+  if (wish_.objective_left > duration::zero() || IsTold(now, seen_[near])) {
+    return IsTimelyEnough(CostOf(now, near), CostOf(now, far), distance);
   }
   return CostOf(now, far) * kDistanceFactor[distance] < CostOf(now, near);
 }
@@ -331,7 +318,7 @@
   const double latency =
       std::max(SecondsOf(FadedLatency(now, seen)), SecondsOf(kLatencyFloor));
   const double pressed = seen.pressed_until > now ? kPressedFactor : 1.0;
-  return latency * (seen.outstanding + 1.0) * pressed;
+  return latency * (1.0 + 1.0 * seen.outstanding / seen.told_slots) * pressed;
 }
 
 duration upstream_chooser::FadedLatency(time_point now,
--- a/Libraries/LibRouting/upstream_choice.h
+++ b/Libraries/LibRouting/upstream_choice.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -48,6 +49,8 @@
   /// How long until the answer loses its full worth; 0 or less when it has, or
   /// when that is not told.
   duration objective_left{};
+  /// What request and answer together are expected to carry between two nodes.
+  std::size_t bytes = 0;
 };
 
 /// What an upstream's owner told of its load, for requests of one rank.
@@ -151,6 +154,9 @@
   bool IsWorthTheWay(time_point now, std::size_t near, std::size_t far,
                      const upstream& far_upstream) const;
 
+  bool IsTimelyEnough(double near_seconds, double far_seconds,
+                      std::size_t distance) const;
+
   duration FadedLatency(time_point now, const observations& seen) const;
   duration MedianLatency();
   bool MayEject(time_point now) const;
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -23,6 +23,8 @@
 // How many owners are asked for one request. Refusals by owners cost little,
 // but each one takes time that the request could wait elsewhere.
 constexpr std::uint32_t kMostOwnersAsked = 4;
+// What the header sections of a request and its answer take together, about.
+constexpr std::size_t kHopHeaderBytes = 600;
 
 time_point OwnerDeadline(time_point deadline, time_point now) {
   const duration share = (deadline - now) / kHopMarginDivisor;
@@ -206,7 +208,7 @@
             ? kLongestLateWait
             : LongestWait(now, arriving, duration::zero());
     const placement_wish wish{arriving.rank, longest_wait,
-                              asked_.objective - now};
+                              asked_.objective - now, ExpectedBytes()};
     auto choice =
         view_.chooser.Choose(now, upstreams_, tried_, target_.limits.slow_start,
                              worker_.random, wish);
@@ -225,6 +227,12 @@
     return choice;
   }
 
+  // What one more attempt would carry to another node and back.
+  std::size_t ExpectedBytes() const {
+    return kHopHeaderBytes + asked_.request.body.size() +
+           view_.sizes.ExpectedAnswer(asked_.chosen_route.name);
+  }
+
   // False when no other attempt may follow.
   task<bool> Attempt(const upstream& chosen, entry_result& result) {
     tried_.push_back(&chosen);
@@ -268,6 +276,7 @@
       result.cause = result.answer ? refusal_cause::kNone : judged.cause;
       co_return judged.may_try_again;
     }
+    view_.sizes.Learn(asked_.chosen_route.name, ended.answer->body.size());
     const bool may_be_better = asked_.is_idempotent &&
                                IsServerError(ended.answer->message) &&
                                ended.answer->rest == nullptr;
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -9,6 +9,7 @@
 #include "LibBase/random.h"
 #include "LibLoad/caller_patience.h"
 #include "LibLoad/retry_budget.h"
+#include "LibRouting/exchange_sizes.h"
 #include "LibTraffic/backend_gate.h"
 #include "LibTraffic/connection_pool.h"
 #include "LibTraffic/decision_log.h"
@@ -83,6 +84,7 @@
 struct service_view {
   upstream_chooser chooser;
   retry_budget budget;
+  exchange_sizes sizes{};
 };
 
 /// What one traffic thread has to itself.
--- /dev/null
+++ b/Tests/LibRouting/test_distant_offer.cc
@@ -0,0 +1,192 @@
+// What leaves a failure domain, by its bytes and by the time it would take.
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <map>
+
+#include "LibRouting/distant_offer.h"
+#include "LibRouting/exchange_sizes.h"
+#include "LibRouting/upstream_choice.h"
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using namespace wagtailmount;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr std::size_t kShort = 1'000;
+constexpr std::size_t kLong = 6'000;
+
+distant_offer OfferOf(milliseconds near_time, milliseconds far_time,
+                      std::size_t bytes) {
+  return {.near_time = near_time,
+          .far_time = far_time,
+          .objective_left = milliseconds{400},
+          .bytes = bytes};
+}
+
+// The load pattern of a failure domain whose one upstream is too slow for its
+// callers: in each step callers of short and of long messages arrive, the near
+// upstream starts `slots` requests and the others are elsewhere.
+struct slow_domain {
+  slow_domain() {
+    for (const char* const domain : {"near-hall", "far-hall"}) {
+      upstream made;
+      made.vm = domain;
+      made.failure_domain = domain;
+      made.region = "one-region";
+      made.incarnation = 1;
+      upstreams.push_back(made);
+    }
+  }
+
+  void Run(int steps) {
+    for (int step = 0; step < steps; ++step) {
+      clock.Advance(kStep);
+      while (!ends.empty() && ends.front().at <= clock.Now()) {
+        chooser.End(clock.Now(), "near-hall", attempt_sign::kGood, kNearTime);
+        Tell(ends.front().rank);
+        ends.pop_front();
+      }
+      const bool is_long = step % 4 == 0;
+      Send(is_long ? kLongRank : kShortRank, is_long ? kLong : kShort);
+    }
+  }
+
+  void Send(request_priority rank, std::size_t bytes) {
+    const auto choice =
+        chooser.Choose(clock.Now(), upstreams, {}, seconds{0}, random,
+                       {.rank = rank,
+                        .longest_wait = milliseconds{400},
+                        .objective_left = milliseconds{400},
+                        .bytes = bytes});
+    BOOST_REQUIRE(choice);
+    chooser.Begin(choice->chosen->vm);
+    ++asked[rank];
+    if (choice->chosen->vm == "near-hall") {
+      // It runs kSlots at a time, the long ones first.
+      const auto before =
+          std::count_if(ends.begin(), ends.end(),
+                        [&](const ending& each) { return each.rank <= rank; });
+      const auto wait = before < kSlots
+                            ? milliseconds{0}
+                            : kNearTime * (before - kSlots + 1) / kSlots;
+      const ending made{clock.Now() + kNearTime + wait, rank};
+      ends.insert(std::upper_bound(ends.begin(), ends.end(), made,
+                                   [](const ending& one, const ending& other) {
+                                     return one.at < other.at;
+                                   }),
+                  made);
+      return;
+    }
+    ++left[rank];
+    bytes_between += bytes;
+    chooser.End(clock.Now(), "far-hall", attempt_sign::kGood, kFarTime);
+    chooser.Told(clock.Now(), "far-hall", {rank, {}, kFarTime, kSlots, {}});
+  }
+
+  void Tell(request_priority rank) {
+    const auto queued = std::max<std::ptrdiff_t>(
+        0, static_cast<std::ptrdiff_t>(ends.size()) - kSlots);
+    const auto wait =
+        rank == kLongRank ? milliseconds{0} : kNearTime * queued / kSlots;
+    chooser.Told(clock.Now(), "near-hall", {rank, wait, kNearTime, kSlots, {}});
+  }
+
+  double LeftShare(request_priority rank) {
+    return 1.0 * left[rank] / std::max(1, asked[rank]);
+  }
+
+  struct ending {
+    time_point at;
+    request_priority rank;
+  };
+
+  static constexpr auto kLongRank = static_cast<request_priority>(1);
+  static constexpr auto kShortRank = static_cast<request_priority>(2);
+  static constexpr int kSlots = 12;
+  static constexpr milliseconds kStep{15};
+  static constexpr milliseconds kNearTime{300};
+  static constexpr milliseconds kFarTime{110};
+
+  manual_clock clock;
+  random_source random{11};
+  std::vector<upstream> upstreams;
+  upstream_chooser chooser{{"near-hall", "one-region"}};
+  std::deque<ending> ends;
+  std::map<request_priority, int> asked;
+  std::map<request_priority, int> left;
+  std::size_t bytes_between = 0;
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(distant_offer_suite)
+
+BOOST_AUTO_TEST_CASE(LatenessGrowsWithTheExpectedTime) {
+  const milliseconds objective{400};
+  BOOST_TEST(ChanceOfLateness(milliseconds{100}, objective) == 0.0);
+  BOOST_TEST(ChanceOfLateness(milliseconds{400}, objective) > 0.4);
+  BOOST_TEST(ChanceOfLateness(milliseconds{300}, objective) <
+             ChanceOfLateness(milliseconds{400}, objective));
+  BOOST_TEST(ChanceOfLateness(milliseconds{800}, objective) == 1.0);
+  BOOST_TEST(ChanceOfLateness(milliseconds{1}, milliseconds{0}) == 1.0);
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsOnTimeStays) {
+  BOOST_TEST(
+      !IsWorthItsBytes(OfferOf(milliseconds{230}, milliseconds{20}, kShort)));
+}
+
+BOOST_AUTO_TEST_CASE(AShortMessageGoesWhereALongOneStays) {
+  const milliseconds near{330};
+  const milliseconds far{110};
+  BOOST_TEST(IsWorthItsBytes(OfferOf(near, far, kShort)));
+  BOOST_TEST(!IsWorthItsBytes(OfferOf(near, far, kLong)));
+}
+
+BOOST_AUTO_TEST_CASE(WhatIsSurelyLateGoesHoweverLong) {
+  BOOST_TEST(IsWorthItsBytes(
+      OfferOf(milliseconds{600}, milliseconds{110}, 1'000'000)));
+}
+
+BOOST_AUTO_TEST_CASE(NothingGoesWhereItWouldBeAsLate) {
+  BOOST_TEST(
+      !IsWorthItsBytes(OfferOf(milliseconds{600}, milliseconds{590}, kShort)));
+}
+
+BOOST_AUTO_TEST_CASE(AnotherRegionAsksForMore) {
+  distant_offer offer = OfferOf(milliseconds{330}, milliseconds{110}, kShort);
+  offer.leaves_region = true;
+  BOOST_TEST(!IsWorthItsBytes(offer));
+}
+
+BOOST_FIXTURE_TEST_CASE(ASlowDomainSendsItsShortRequestsAway, slow_domain) {
+  Run(4'000);
+  // At least what the near one can't carry beside the long ones.
+  const double carried = SecondsOf(kStep) * kSlots / SecondsOf(kNearTime);
+  BOOST_TEST(LeftShare(kShortRank) > 0.9 * (1.0 - carried) / 0.75);
+  BOOST_TEST(LeftShare(kLongRank) < 0.02);
+}
+
+BOOST_FIXTURE_TEST_CASE(BeforeAnythingIsKnownRequestsStayNear, slow_domain) {
+  for (int count = 0; count < 30; ++count) {
+    Send(kLongRank, kLong);
+  }
+  BOOST_TEST(left[kLongRank] == 0);
+}
+
+BOOST_AUTO_TEST_CASE(AnswerSizesAreLearnedByRoute) {
+  exchange_sizes sizes;
+  BOOST_TEST(sizes.ExpectedAnswer("pages") == 0U);
+  sizes.Learn("pages", 400);
+  sizes.Learn("signatures", 1'500);
+  BOOST_TEST(sizes.ExpectedAnswer("pages") == 400U);
+  for (int count = 0; count < 100; ++count) {
+    sizes.Learn("pages", 800);
+  }
+  BOOST_TEST(sizes.ExpectedAnswer("pages") > 750U);
+  BOOST_TEST(sizes.ExpectedAnswer("signatures") == 1'500U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
