LibTraffic: Work until a process stops, and send less between failure domains

Ruled out: sending less by longer waits near; the rest is a failure domain that lost its only upstream. Change: the hop's fields are one; an upstream is left out when its told wait and a long service miss the objective, as its owner reckons; a stopping process serves its backend server until the drain.

--- a/Libraries/LibNode/catalog_node.cc
+++ b/Libraries/LibNode/catalog_node.cc
@@ -162,7 +162,7 @@
 void catalog_node::BeginStop() {
   is_stopping_ = true;
   stop_began_ = clock_.Now();
-  traffic_->BeginLeaving();
+  traffic_->BeginStop();
   log_.Add(log_line{"stop-begun"}
                .Number("in_flight", static_cast<std::int64_t>(
                                         traffic_->Counters().in_flight))
--- a/Libraries/LibRouting/told_load.cc
+++ b/Libraries/LibRouting/told_load.cc
@@ -21,6 +21,10 @@
 constexpr milliseconds kToldHalfLife{1'000};
 // The weight of the newest overhead, as a divisor.
 constexpr int kOverheadWeight = 4;
+// How much longer than told a service may take. Source: as owners reckon.
+constexpr double kLongService = 1.25;
+// Owners with a free slot or nearly so tell a wait below this.
+constexpr milliseconds kLeastWait{10};
 // How much sooner the answer to a request that is late already must be expected
 // from farther away: by the distance. Source: what a caller notices, a good
 // part of the usual objectives of half a second.
@@ -66,8 +70,16 @@
 }
 
 bool upstream_chooser::IsFull(time_point now, const observations& seen) const {
-  return wish_.longest_wait != duration::max() && IsTold(now, seen) &&
-         ToldWait(now, seen) >= SecondsOf(wish_.longest_wait);
+  if (wish_.longest_wait == duration::max() || !IsTold(now, seen)) {
+    return false;
+  }
+  // As its owner would decide: the wait and then a long service end before the
+  // objective.
+  double longest = SecondsOf(wish_.longest_wait);
+  if (wish_.objective_left > duration::zero()) {
+    longest -= kLongService * ToldService(seen);
+  }
+  return ToldWait(now, seen) >= std::max(longest, SecondsOf(kLeastWait));
 }
 
 bool upstream_chooser::IsTimelyEnough(double near_seconds, double far_seconds,
--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -158,7 +158,8 @@
 
   // Whether another request may follow on the connection.
   bool MayKeep() const {
-    return parser_.is_done() && parser_.keep_alive() && !state_.is_leaving;
+    return parser_.is_done() && parser_.keep_alive() && !state_.is_leaving &&
+           !state_.is_stopping;
   }
 
   void Record(const route& chosen, const service& target,
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -7,6 +7,7 @@
 #include "LibLoad/load_text.h"
 #include "LibLoad/retry.h"
 #include "LibTraffic/header_fields.h"
+#include "LibTraffic/hop_text.h"
 #include "LibTraffic/owner.h"
 
 namespace wagtailmount::detail {
@@ -34,21 +35,19 @@
 void PrepareForOwner(http_request& message, const upstream& owner,
                      const entry_request& asked, std::uint32_t attempt,
                      time_point now) {
-  const duration left = OwnerDeadline(asked.deadline, now) - now;
-  const auto left_ms =
-      std::chrono::duration_cast<std::chrono::milliseconds>(left);
-  const auto rank = static_cast<unsigned>(asked.chosen_route.priority);
-  SetField(message, kHopServiceField, asked.target.name);
-  SetField(message, kHopVmField, owner.vm);
-  SetField(message, kHopDeadlineField, std::to_string(left_ms.count()));
-  SetField(message, kHopPriorityField, std::to_string(rank));
-  SetField(message, kHopAttemptField, std::to_string(attempt));
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  hop_note note{.vm = owner.vm,
+                .service = asked.target.name,
+                .time_left = duration_cast<milliseconds>(
+                    OwnerDeadline(asked.deadline, now) - now),
+                .rank = asked.chosen_route.priority,
+                .attempt = attempt,
+                .objective_left = std::nullopt};
   if (asked.objective != time_point{}) {
-    const auto until = std::chrono::duration_cast<std::chrono::milliseconds>(
-        asked.objective - now);
-    SetField(message, kHopObjectiveField,
-             std::to_string(std::max<std::int64_t>(0, until.count())));
+    note.objective_left = duration_cast<milliseconds>(asked.objective - now);
   }
+  SetField(message, kHopField, HopText(note));
 }
 
 // Reads the owner's verdict and load out of its answer.
--- a/Libraries/LibTraffic/header_fields.h
+++ b/Libraries/LibTraffic/header_fields.h
@@ -15,16 +15,8 @@
 
 inline constexpr std::string_view kVerdictField = "Wagtailmount-Verdict";
 inline constexpr std::string_view kReasonField = "Wagtailmount-Reason";
-inline constexpr std::string_view kHopServiceField = "Wagtailmount-Hop-Service";
-inline constexpr std::string_view kHopVmField = "Wagtailmount-Hop-Vm";
-inline constexpr std::string_view kHopDeadlineField =
-    "Wagtailmount-Hop-Deadline-Ms";
-/// Milliseconds until the answer loses its full worth; missing when not told.
-inline constexpr std::string_view kHopObjectiveField =
-    "Wagtailmount-Hop-Objective-Ms";
-inline constexpr std::string_view kHopPriorityField =
-    "Wagtailmount-Hop-Priority";
-inline constexpr std::string_view kHopAttemptField = "Wagtailmount-Hop-Attempt";
+/// In a request to an owner: what HopText() writes.
+inline constexpr std::string_view kHopField = "Wagtailmount-Hop";
 /// In an owner's answers: its load, as LoadText() writes it.
 inline constexpr std::string_view kLoadField = "Wagtailmount-Load";
 /// In a refusal: some of the request was sent to the backend server.
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -2,6 +2,7 @@
 #include "LibLoad/retry.h"
 #include "LibTraffic/answers.h"
 #include "LibTraffic/header_fields.h"
+#include "LibTraffic/hop_text.h"
 #include "LibTraffic/owner.h"
 #include "LibTraffic/request_reading.h"
 #include "LibTraffic/sessions.h"
@@ -36,27 +37,20 @@
     const http_request& head = parser_.get();
     id_ = FieldOf(head, kRequestIdField);
     is_head_ = head.method() == http::verb::head;
-    const auto left = ParseNumber(FieldOf(head, kHopDeadlineField));
-    if (id_.empty() || !left) {
+    const auto note = ParseHop(FieldOf(head, kHopField));
+    if (id_.empty() || !note) {
       co_return false;
     }
     if (state_.is_leaving) {
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kDraining);
     }
-    if (!IsForThisVm(head)) {
+    if (!IsForThisVm(head, *note)) {
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kWrongOwner);
     }
-    constexpr std::uint64_t kLastRank = 255;
-    const auto rank = ParseNumber(FieldOf(head, kHopPriorityField));
-    priority_ = static_cast<request_priority>(
-        std::min(rank.value_or(kLastRank), kLastRank));
-    const auto objective = ParseNumber(FieldOf(head, kHopObjectiveField));
-    constexpr std::uint64_t kLongestDeadlineMs = 3'600'000;
-    deadline_ =
-        now + std::chrono::milliseconds{std::min(*left, kLongestDeadlineMs)};
-    if (objective) {
-      objective_ = now + std::chrono::milliseconds{
-                             std::min(*objective, kLongestDeadlineMs)};
+    priority_ = note->rank;
+    deadline_ = now + note->time_left;
+    if (note->objective_left) {
+      objective_ = now + *note->objective_left;
     }
     co_return co_await Run();
   }
@@ -64,12 +58,11 @@
  private:
   // Where the backend server itself checks which start of it is meant, that
   // settles the service too.
-  bool IsForThisVm(const http_request& head) const {
+  bool IsForThisVm(const http_request& head, const hop_note& note) const {
     const bool is_checked_there =
         !FieldOf(head, state_.settings.fields.expected_backend_server).empty();
-    return FieldOf(head, kHopVmField) == state_.settings.vm &&
-           (is_checked_there ||
-            FieldOf(head, kHopServiceField) == state_.settings.service);
+    return note.vm == state_.settings.vm &&
+           (is_checked_there || note.service == state_.settings.service);
   }
 
   task<bool> Run() {
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -35,11 +35,7 @@
 void PrepareForBackendServer(http_request& message,
                              std::string_view deadline_field,
                              time_point deadline, time_point now) {
-  for (const std::string_view name :
-       {kHopServiceField, kHopVmField, kHopDeadlineField, kHopPriorityField,
-        kHopAttemptField, kHopObjectiveField}) {
-    message.erase(ToBoost(name));
-  }
+  message.erase(ToBoost(kHopField));
   SetField(message, deadline_field, MillisecondsLeft(deadline, now));
 }
 
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -106,6 +106,11 @@
   /// by the control thread.
   virtual void Publish(std::shared_ptr<const routing_snapshot> snapshot) = 0;
 
+  /// This process ends soon while its backend server stays. Callers are told
+  /// to close the connection; until BeginDrain() all goes on otherwise, as only
+  /// this process reaches the backend server.
+  virtual void BeginStop() = 0;
+
   /// From now on no new work starts at this VM's backend server. Callers are
   /// still served, by other upstreams, and told to close the connection, so
   /// that they go elsewhere without a refusal.
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -64,6 +64,9 @@
   /// earlier one.
   std::atomic<std::chrono::milliseconds> idle_timeout{
       request_limits{}.idle_timeout};
+  /// This process ends soon, but the backend server stays and still gets work;
+  /// callers are told to go.
+  std::atomic<bool> is_stopping{false};
   /// No new work starts at this VM's backend server; callers are told to go.
   std::atomic<bool> is_leaving{false};
   /// New requests of callers are refused too; implies `is_leaving`.
--- a/Tests/LibRouting/test_distant_offer.cc
+++ b/Tests/LibRouting/test_distant_offer.cc
@@ -176,6 +176,29 @@
   BOOST_TEST(left[kLongRank] == 0);
 }
 
+// The load pattern of a burst over all failure domains: asking an owner that
+// would refuse carries a request between them in vain.
+BOOST_FIXTURE_TEST_CASE(AnOwnerThatWouldRefuseIsNotAsked, slow_domain) {
+  const auto ask = [&](milliseconds far_wait) {
+    const milliseconds service{200};
+    chooser.Told(clock.Now(), "near-hall",
+                 {kShortRank, seconds{1}, service, kSlots, {}});
+    chooser.Told(clock.Now(), "far-hall",
+                 {kShortRank, far_wait, service, kSlots, {}});
+    const auto choice =
+        chooser.Choose(clock.Now(), upstreams, {}, seconds{0}, random,
+                       {.rank = kShortRank,
+                        .longest_wait = milliseconds{400},
+                        .objective_left = milliseconds{400},
+                        .bytes = kShort});
+    BOOST_REQUIRE(choice);
+    return choice->chosen->vm;
+  };
+  ask({});  // The chooser knows upstreams from its first choice on.
+  BOOST_TEST(ask(milliseconds{100}) == "far-hall");
+  BOOST_TEST(ask(milliseconds{200}) == "near-hall");
+}
+
 BOOST_AUTO_TEST_CASE(AnswerSizesAreLearnedByRoute) {
   exchange_sizes sizes;
   BOOST_TEST(sizes.ExpectedAnswer("pages") == 0U);
--- a/Tests/LibTraffic/test_bad_requests.cc
+++ b/Tests/LibTraffic/test_bad_requests.cc
@@ -129,8 +129,8 @@
   fixture.Publish();
   auto& owner = fixture.Owner(1);
   const auto answer = Call(owner.caller, "GET", "/",
-                           "Wagtailmount-Hop-Vm: vm-1\r\n"
-                           "wagtailmount-hop-service: other\r\n"
+                           "Wagtailmount-Hop: vm-1 other 1000 0 1\r\n"
+                           "wagtailmount-hop: vm-2 other 1000 0 1\r\n"
                            "Wagtailmount-Verdict: ran\r\n"
                            "Wagtailmount-Anything: x\r\n"
                            "Connection: keep-alive, X-Private\r\n"
@@ -162,9 +162,8 @@
   auto& owner = fixture.Owner(1);
   const auto call = [&](const std::string& vm, const std::string& name) {
     return Call(owner.hop, "GET", "/",
-                "X-Request-Id: a\r\nWagtailmount-Hop-Vm: " + vm +
-                    "\r\nWagtailmount-Hop-Service: " + name +
-                    "\r\nWagtailmount-Hop-Deadline-Ms: 1000\r\n");
+                "X-Request-Id: a\r\nWagtailmount-Hop: " + vm + " " + name +
+                    " 1000 0 1\r\n");
   };
   BOOST_TEST(call("vm-1", "ledger").status == 200);
   BOOST_TEST(call("vm-2", "ledger").Field("Wagtailmount-Reason") ==
@@ -172,6 +171,9 @@
   BOOST_TEST(call("vm-1", "other").Field("Wagtailmount-Reason") ==
              "wrong-owner");
   BOOST_TEST(Call(owner.hop, "GET", "/").status == 0);
+  // Without a time, or with more than is known, the connection is closed.
+  BOOST_TEST(call("vm-1", "ledger soon").status == 0);
+  BOOST_TEST(call("vm-1", "ledger 1 1 1 1").status == 0);
   BOOST_TEST(owner.backend_server->AllRuns() == 1);
 }
 
--- a/Tests/LibTraffic/test_drain.cc
+++ b/Tests/LibTraffic/test_drain.cc
@@ -48,6 +48,21 @@
   BOOST_TEST(fixture.Owner(2).backend_server->AllRuns() == 20);
 }
 
+BOOST_AUTO_TEST_CASE(AStoppingProcessStillReachesItsBackendServer) {
+  traffic_fixture fixture{2};
+  fixture.Publish();
+  auto& stopping = fixture.Owner(1);
+  stopping.server->BeginStop();
+  for (int call = 0; call < 40; ++call) {
+    const auto own = Call(stopping.caller, "POST", "/", "", "amount=20");
+    BOOST_TEST(own.status == 200);
+    BOOST_TEST(own.Field("Connection") == "close");
+    BOOST_TEST(Call(fixture.Entry().caller, "GET", "/").status == 200);
+  }
+  // Alone at the place that is near to no upstream, and for its own callers.
+  BOOST_TEST(stopping.backend_server->AllRuns() > 20);
+}
+
 BOOST_AUTO_TEST_CASE(ConnectionsMadeBeforeTheDrainGetTheirAnswer) {
   traffic_fixture fixture{2};
   fixture.Publish();
