LibRouting: Guess at unasked owners by their failure domain, and weigh failures as lateness

And where all upstreams shed, the time expected near was multiplied by its failures, while an unknown far one counted as sound, so that work left for chance. Ruled out: fewer requests in flight per upstream (durations at full slots are a tenth longer, no more); a lack of slots in use (0.98 to 1.00 in the overloaded seconds). Change: an owner not asked of late is taken to be as its failure domain's others; a chance of failure counts like a chance of lateness in what leaves a domain. Tests replay both patterns; they fail without.

--- a/Libraries/LibRouting/distant_offer.cc
+++ b/Libraries/LibRouting/distant_offer.cc
@@ -31,8 +31,12 @@
 }
 
 bool IsWorthItsBytes(const distant_offer& offer) {
-  const double gain = ChanceOfLateness(offer.near_time, offer.objective_left) -
-                      ChanceOfLateness(offer.far_time, offer.objective_left);
+  const auto chance_of_good = [&](duration expected, double failing) {
+    return (1.0 - failing) *
+           (1.0 - ChanceOfLateness(expected, offer.objective_left));
+  };
+  const double gain = chance_of_good(offer.far_time, offer.far_failing) -
+                      chance_of_good(offer.near_time, offer.near_failing);
   const double for_bytes = kGainForKilobyte * static_cast<double>(offer.bytes) /
                            kBytesInKilobyte *
                            (offer.leaves_region ? kRegionFactor : 1.0);
--- a/Libraries/LibRouting/distant_offer.h
+++ b/Libraries/LibRouting/distant_offer.h
@@ -13,6 +13,8 @@
   duration far_time{};   ///< The like from the farther one.
   /// How long until the answer loses its full worth; positive.
   duration objective_left{};
+  double near_failing = 0.0;  ///< Share of attempts there that fail.
+  double far_failing = 0.0;
   /// What request and answer together are expected to carry over the way.
   std::size_t bytes = 0;
   bool leaves_region = false;
@@ -22,8 +24,9 @@
 /// after the objective.
 double ChanceOfLateness(duration expected, duration objective_left);
 
-/// Whether the better chance of a timely answer is worth the bytes. A short
-/// answer goes the way early and leaves the near upstream to the long ones.
+/// Whether the better chance of a good and timely answer is worth the bytes. A
+/// short answer goes the way early and leaves the near upstream to the long
+/// ones.
 ///
 /// Answers the load pattern of a failure domain whose one upstream is too slow
 /// for its callers: a part of the work must leave, and it should be the part
--- a/Libraries/LibRouting/told_load.cc
+++ b/Libraries/LibRouting/told_load.cc
@@ -33,6 +33,17 @@
 // The distance from which another region begins.
 constexpr std::size_t kElsewhere = 2;
 
+// The like in what is known of a whole failure domain.
+constexpr int kDomainWeight = 4;
+
+bool IsRecent(time_point now, time_point at) {
+  return at != time_point{} && now - at < kToldTime;
+}
+
+double KeptShare(time_point now, time_point at) {
+  return std::exp2(-SecondsOf(now - at) / SecondsOf(kToldHalfLife));
+}
+
 }  // namespace
 
 void upstream_chooser::Told(time_point now, std::string_view vm,
@@ -41,6 +52,7 @@
     seen->told[IndexOf(load.rank)] = {load.wait, load.service, now, 0};
     seen->told_slots = std::max(1U, load.slots);
     seen->overhead += (load.overhead - seen->overhead) / kOverheadWeight;
+    TellDomain(now, *seen, load);
   }
 }
 
@@ -50,23 +62,65 @@
       std::tuple_size_v<decltype(observations::told)> - 1);
 }
 
+std::size_t upstream_chooser::PlaceOfDomain(const std::string& name) {
+  const auto found = std::find_if(
+      domains_.begin(), domains_.end(),
+      [&name](const domain_observations& each) { return each.name == name; });
+  const auto place = static_cast<std::size_t>(found - domains_.begin());
+  if (found == domains_.end()) {
+    domains_.push_back({.name = name, .told = {}, .failure_share = 0.0});
+  }
+  return place;
+}
+
+// Single owners differ, so their words are mixed.
+void upstream_chooser::TellDomain(time_point now, const observations& seen,
+                                  const told_load& load) {
+  told_wait& told = domains_[seen.domain].told[IndexOf(load.rank)];
+  if (!IsRecent(now, told.at)) {
+    told = {load.wait, load.service, now, 0};
+    return;
+  }
+  const duration before =
+      std::chrono::duration_cast<duration>(told.wait * KeptShare(now, told.at));
+  told.wait = before + (load.wait - before) / kDomainWeight;
+  told.service += (load.service - told.service) / kDomainWeight;
+  told.at = now;
+}
+
+bool upstream_chooser::HasToldOfLate(time_point now,
+                                     const observations& seen) const {
+  return IsRecent(now, seen.told[IndexOf(wish_.rank)].at);
+}
+
+const upstream_chooser::told_wait& upstream_chooser::LastTold(
+    time_point now, const observations& seen) const {
+  const std::size_t rank = IndexOf(wish_.rank);
+  return HasToldOfLate(now, seen) ? seen.told[rank]
+                                  : domains_[seen.domain].told[rank];
+}
+
 bool upstream_chooser::IsTold(time_point now, const observations& seen) const {
-  const auto& told = seen.told[IndexOf(wish_.rank)];
-  return told.at != time_point{} && now - told.at < kToldTime &&
-         told.service > duration::zero();
+  const told_wait& told = LastTold(now, seen);
+  return IsRecent(now, told.at) && told.service > duration::zero();
+}
+
+double upstream_chooser::FailureShare(time_point now,
+                                      const observations& seen) const {
+  return IsRecent(now, seen.ended_at) ? seen.failure_share
+                                      : domains_[seen.domain].failure_share;
 }
 
-double upstream_chooser::ToldService(const observations& seen) const {
-  return SecondsOf(seen.told[IndexOf(wish_.rank)].service);
+double upstream_chooser::ToldService(time_point now,
+                                     const observations& seen) const {
+  return SecondsOf(LastTold(now, seen).service);
 }
 
 double upstream_chooser::ToldWait(time_point now,
                                   const observations& seen) const {
-  const auto& told = seen.told[IndexOf(wish_.rank)];
-  const double kept =
-      std::exp2(-SecondsOf(now - told.at) / SecondsOf(kToldHalfLife));
-  return SecondsOf(told.wait) * kept +
-         ToldService(seen) * told.begun_since / seen.told_slots;
+  const told_wait& told = LastTold(now, seen);
+  return SecondsOf(told.wait) * KeptShare(now, told.at) +
+         SecondsOf(told.service) * told.begun_since / seen.told_slots;
 }
 
 bool upstream_chooser::IsFull(time_point now, const observations& seen) const {
@@ -77,23 +131,27 @@
   // objective.
   double longest = SecondsOf(wish_.longest_wait);
   if (wish_.objective_left > duration::zero()) {
-    longest -= kLongService * ToldService(seen);
+    longest -= kLongService * ToldService(now, seen);
   }
   return ToldWait(now, seen) >= std::max(longest, SecondsOf(kLeastWait));
 }
 
-bool upstream_chooser::IsTimelyEnough(double near_seconds, double far_seconds,
+bool upstream_chooser::IsTimelyEnough(time_point now, std::size_t near,
+                                      std::size_t far,
                                       std::size_t distance) const {
   if (wish_.objective_left <= duration::zero()) {
-    return far_seconds + SecondsOf(kDistanceCost[distance]) < near_seconds;
+    return CostOf(now, far) + SecondsOf(kDistanceCost[distance]) <
+           CostOf(now, near);
   }
-  const auto time_of = [](double seconds_long) {
+  const auto time_of = [&](std::size_t index) {
     return std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(seconds_long));
+        std::chrono::duration<double>(TimeOf(now, seen_[index])));
   };
-  return IsWorthItsBytes({.near_time = time_of(near_seconds),
-                          .far_time = time_of(far_seconds),
+  return IsWorthItsBytes({.near_time = time_of(near),
+                          .far_time = time_of(far),
                           .objective_left = wish_.objective_left,
+                          .near_failing = FailureShare(now, seen_[near]),
+                          .far_failing = FailureShare(now, seen_[far]),
                           .bytes = wish_.bytes,
                           .leaves_region = distance == kElsewhere});
 }
--- a/Libraries/LibRouting/upstream_choice.cc
+++ b/Libraries/LibRouting/upstream_choice.cc
@@ -114,6 +114,9 @@
       sign == attempt_sign::kShed) {
     const double failed = sign == attempt_sign::kGood ? 0.0 : 1.0;
     seen->failure_share += (failed - seen->failure_share) / kFailureWeight;
+    double& of_domain = domains_[seen->domain].failure_share;
+    of_domain += (failed - of_domain) / kFailureWeight;
+    seen->ended_at = now;
   }
   if (sign == attempt_sign::kPressed || sign == attempt_sign::kShed) {
     seen->pressed_until = now + kPressedTime;
@@ -173,6 +176,7 @@
     fresh.vm = known.vm;
     fresh.incarnation = known.incarnation;
     fresh.warming_since = now;
+    fresh.domain = PlaceOfDomain(known.failure_domain);
     aligned.push_back(std::move(fresh));
   }
   // Those known from the start were there before this node looked.
@@ -256,8 +260,10 @@
     return upstream_choice{&upstreams[near], choice_reason::kNear};
   }
   const std::size_t far = BestOfDrawn(now, farther_, slow_start, random);
-  if (IsFull(now, seen_[near]) ||
-      IsWorthTheWay(now, near, far, upstreams[far])) {
+  // The near one's own word only: a guess must not send work away.
+  const bool is_near_full =
+      IsFull(now, seen_[near]) && HasToldOfLate(now, seen_[near]);
+  if (is_near_full || IsWorthTheWay(now, near, far, upstreams[far])) {
     return upstream_choice{&upstreams[far], choice_reason::kSpillOver};
   }
   return upstream_choice{&upstreams[near], choice_reason::kNear};
@@ -268,7 +274,7 @@
                                      const upstream& far_upstream) const {
   const auto distance = static_cast<std::size_t>(DistanceOf(far_upstream));
   if (wish_.objective_left > duration::zero() || IsTold(now, seen_[near])) {
-    return IsTimelyEnough(CostOf(now, near), CostOf(now, far), distance);
+    return IsTimelyEnough(now, near, far, distance);
   }
   return CostOf(now, far) * kDistanceFactor[distance] < CostOf(now, near);
 }
@@ -307,13 +313,12 @@
   return candidates.back();
 }
 
-double upstream_chooser::CostOf(time_point now, std::size_t index) const {
-  const observations& seen = seen_[index];
-  const double failing = 1.0 + kFailureFactor * seen.failure_share;
+// Seconds until an answer is expected.
+double upstream_chooser::TimeOf(time_point now,
+                                const observations& seen) const {
   if (IsTold(now, seen)) {
-    return (ToldWait(now, seen) + ToldService(seen) +
-            SecondsOf(seen.overhead)) *
-           failing;
+    return ToldWait(now, seen) + ToldService(now, seen) +
+           SecondsOf(seen.overhead);
   }
   const double latency =
       std::max(SecondsOf(FadedLatency(now, seen)), SecondsOf(kLatencyFloor));
@@ -321,6 +326,13 @@
   return latency * (1.0 + 1.0 * seen.outstanding / seen.told_slots) * pressed;
 }
 
+double upstream_chooser::CostOf(time_point now, std::size_t index) const {
+  const observations& seen = seen_[index];
+  const double failing =
+      IsTold(now, seen) ? kFailureFactor * FailureShare(now, seen) : 0.0;
+  return TimeOf(now, seen) * (1.0 + failing);
+}
+
 duration upstream_chooser::FadedLatency(time_point now,
                                         const observations& seen) const {
   if (seen.latency == duration::zero()) {
--- a/Libraries/LibRouting/upstream_choice.h
+++ b/Libraries/LibRouting/upstream_choice.h
@@ -102,6 +102,23 @@
   std::uint32_t OutstandingOf(std::string_view vm) const;
 
  private:
+  struct told_wait {
+    duration wait{};
+    duration service{};
+    time_point at{};
+    std::uint32_t begun_since = 0;
+  };
+  /// By rank; ranks beyond the last share one.
+  using told_waits = std::array<told_wait, 4>;
+
+  /// What was seen of the upstreams of one failure domain together: the best
+  /// guess at one of them that this thread has not asked of late.
+  struct domain_observations {
+    std::string name;
+    told_waits told;
+    double failure_share = 0.0;
+  };
+
   /// What was seen of one incarnation of an upstream.
   struct observations {
     std::string vm;
@@ -114,17 +131,12 @@
     std::uint32_t failures_in_row = 0;
     std::uint32_t ejections_in_row = 0;
     time_point ejected_until{};
-    /// By rank; ranks beyond the last share one.
-    struct told_wait {
-      duration wait{};
-      duration service{};
-      time_point at{};
-      std::uint32_t begun_since = 0;
-    };
-    std::array<told_wait, 4> told;
+    told_waits told;
     std::uint32_t told_slots = 1;
     duration overhead{};         ///< Smoothed: the way there, and slow owners.
     double failure_share = 0.0;  ///< Of what arrived there; smoothed.
+    time_point ended_at{};       ///< When an attempt last told anything.
+    std::size_t domain = 0;      ///< Its place in `domains_`.
   };
 
   enum class standing : std::uint8_t { kGood, kEjected, kSuspect };
@@ -145,16 +157,23 @@
                           duration slow_start, random_source& random) const;
   std::size_t Draw(time_point now, std::span<const std::size_t> candidates,
                    duration slow_start, random_source& random) const;
+  double TimeOf(time_point now, const observations& seen) const;
   double CostOf(time_point now, std::size_t index) const;
   std::size_t IndexOf(request_priority rank) const;
+  bool HasToldOfLate(time_point now, const observations& seen) const;
   bool IsTold(time_point now, const observations& seen) const;
-  double ToldService(const observations& seen) const;
+  const told_wait& LastTold(time_point now, const observations& seen) const;
+  void TellDomain(time_point now, const observations& seen,
+                  const told_load& load);
+  std::size_t PlaceOfDomain(const std::string& name);
+  double FailureShare(time_point now, const observations& seen) const;
+  double ToldService(time_point now, const observations& seen) const;
   double ToldWait(time_point now, const observations& seen) const;
   bool IsFull(time_point now, const observations& seen) const;
   bool IsWorthTheWay(time_point now, std::size_t near, std::size_t far,
                      const upstream& far_upstream) const;
 
-  bool IsTimelyEnough(double near_seconds, double far_seconds,
+  bool IsTimelyEnough(time_point now, std::size_t near, std::size_t far,
                       std::size_t distance) const;
 
   duration FadedLatency(time_point now, const observations& seen) const;
@@ -164,6 +183,7 @@
 
   place own_;
   std::vector<observations> seen_;  ///< In the order of the upstreams.
+  std::vector<domain_observations> domains_;
   std::vector<std::size_t> candidates_;
   std::vector<std::size_t> farther_;
   std::vector<duration> latencies_;
--- a/Tests/LibRouting/test_distant_offer.cc
+++ b/Tests/LibRouting/test_distant_offer.cc
@@ -155,6 +155,14 @@
       !IsWorthItsBytes(OfferOf(milliseconds{600}, milliseconds{590}, kShort)));
 }
 
+BOOST_AUTO_TEST_CASE(FailuresCountAsLatenessDoes) {
+  distant_offer offer = OfferOf(milliseconds{100}, milliseconds{100}, kShort);
+  offer.near_failing = 0.5;
+  BOOST_TEST(IsWorthItsBytes(offer));
+  offer.far_failing = 0.4;
+  BOOST_TEST(!IsWorthItsBytes(offer));
+}
+
 BOOST_AUTO_TEST_CASE(AnotherRegionAsksForMore) {
   distant_offer offer = OfferOf(milliseconds{330}, milliseconds{110}, kShort);
   offer.leaves_region = true;
@@ -199,6 +207,68 @@
   BOOST_TEST(ask(milliseconds{200}) == "near-hall");
 }
 
+// The load pattern of a burst over a large fleet: each node asks each far owner
+// too seldom to know its load, but knows what others of its domain told.
+BOOST_FIXTURE_TEST_CASE(OwnersOfAFullDomainAreNotAskedOneByOne, slow_domain) {
+  for (int number = 0; number < 20; ++number) {
+    upstream made = upstreams.back();
+    made.vm = "far-" + std::to_string(number);
+    upstreams.push_back(made);
+  }
+  const milliseconds service{200};
+  int refused = 0;
+  for (int request = 0; request < 400; ++request) {
+    clock.Advance(milliseconds{10});
+    std::vector<const upstream*> tried{&upstreams.front()};
+    const auto choice =
+        chooser.Choose(clock.Now(), upstreams, tried, seconds{0}, random,
+                       {.rank = kShortRank,
+                        .longest_wait = milliseconds{400},
+                        .objective_left = milliseconds{400},
+                        .bytes = kShort});
+    if (choice) {
+      ++refused;
+      const std::string vm = choice->chosen->vm;
+      chooser.Begin(vm);
+      chooser.End(clock.Now(), vm, attempt_sign::kPressed, milliseconds{3});
+      chooser.Told(clock.Now(), vm,
+                   {kShortRank, milliseconds{300}, service, kSlots, {}});
+    }
+  }
+  BOOST_TEST(refused > 0);
+  BOOST_TEST(refused < 20);
+}
+
+BOOST_FIXTURE_TEST_CASE(AFailingDomainIsNoBetterWhereItIsUnknown, slow_domain) {
+  for (int number = 0; number < 20; ++number) {
+    upstream made = upstreams.back();
+    made.vm = "far-" + std::to_string(number);
+    upstreams.push_back(made);
+  }
+  int away = 0;
+  for (int request = 0; request < 400; ++request) {
+    clock.Advance(milliseconds{10});
+    const auto choice =
+        chooser.Choose(clock.Now(), upstreams, {}, seconds{0}, random,
+                       {.rank = kShortRank,
+                        .longest_wait = milliseconds{400},
+                        .objective_left = milliseconds{400},
+                        .bytes = kLong});
+    BOOST_REQUIRE(choice);
+    const std::string vm = choice->chosen->vm;
+    away += vm == "near-hall" ? 0 : 1;
+    // Everybody sheds a half.
+    const auto sign =
+        request % 2 == 0 ? attempt_sign::kShed : attempt_sign::kGood;
+    chooser.Begin(vm);
+    chooser.End(clock.Now(), vm, sign, milliseconds{100});
+    chooser.Told(clock.Now(), vm,
+                 {kShortRank, {}, milliseconds{100}, kSlots, {}});
+  }
+  // A quarter is what chance alone makes of failing shares around a half.
+  BOOST_TEST(away < 100);
+}
+
 BOOST_AUTO_TEST_CASE(AnswerSizesAreLearnedByRoute) {
   exchange_sizes sizes;
   BOOST_TEST(sizes.ExpectedAnswer("pages") == 0U);
