--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -25,6 +25,7 @@
 // but each one takes time that the request could wait elsewhere.
 constexpr std::uint32_t kMostOwnersAsked = 4;
 // What the header sections of a request and its answer take together, about.
+// Source: hops of the users' callers.
 constexpr std::size_t kHopHeaderBytes = 600;
 
 time_point OwnerDeadline(time_point deadline, time_point now) {
--- a/Tests/LibTraffic/test_drain.cc
+++ b/Tests/LibTraffic/test_drain.cc
@@ -59,7 +59,7 @@
     BOOST_TEST(own.Field("Connection") == "close");
     BOOST_TEST(Call(fixture.Entry().caller, "GET", "/").status == 200);
   }
-  // Alone at the place that is near to no upstream, and for its own callers.
+  // Its own callers' requests, and about half of the entry's.
   BOOST_TEST(stopping.backend_server->AllRuns() > 20);
 }
 
