LibNode: Look for neighbours that started again while the platform is away

Only links to a reader and its stand-by are opened, so nobody looked for a plain node, and one that was told of newer news waited for its own read, which could not come. Ruled out: peers without the news (all others went on serving); a refusal for load (503 within 1 ms). Change: from 3 s after its start the reader and the stand-by open links to all of their failure domain; while its calls fail, a node asks near peers too. Test: each of five nodes of a domain is killed and started again without the store; fails before.

--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -22,6 +22,9 @@
 /// How long a start waits for a confirmation of what a stale listing gave.
 /// Source: a link's handshake or a call, and a margin.
 constexpr milliseconds kLongestConfirmation{1'500};
+/// From then on a node opens links to those that should have opened one to it.
+/// Source: at a start of the whole fleet all have done so by then.
+constexpr milliseconds kOthersOpenFirst{3'000};
 /// How long a watch waits at the platform. One that was lost there without a
 /// word is noticed that late at most. Source: less than the least bound on
 /// leaving upstreams, 2 s.
@@ -66,6 +69,12 @@
 
 void catalog_control::Tick() {
   const time_point now = clock_.Now();
+  const bool is_past_start = now - started_at_ > kOthersOpenFirst;
+  if (are_peers_due_ || is_past_start != looks_for_others_) {
+    are_peers_due_ = false;
+    looks_for_others_ = is_past_start;
+    ChoosePeers();
+  }
   links_.Tick();
   CallPlatform(now);
   WatchFreshness(now);
--- a/Libraries/LibNode/catalog_control.h
+++ b/Libraries/LibNode/catalog_control.h
@@ -128,6 +128,8 @@
   bool is_fresh_ = false;
   bool is_serving_ = false;
   bool is_snapshot_due_ = false;
+  bool are_peers_due_ = false;
+  bool looks_for_others_ = false;  ///< Not at the start of the whole fleet.
 };
 
 }  // namespace wagtailmount
--- a/Libraries/LibNode/catalog_control_peers.cc
+++ b/Libraries/LibNode/catalog_control_peers.cc
@@ -26,11 +26,13 @@
 /// thousand new routes as a compressed delta; to 20 nodes on a link of 5 Mbit/s
 /// within two seconds.
 constexpr std::size_t kLargestUpdate = std::size_t{64} * 1024;
+
 }  // namespace
 
 // In each failure domain the VM of the lowest hash reads the platform, and the
 // next one stands by. Both have links to all nodes of their failure domain, and
-// the readers have links to each other.
+// the readers have links to each other. A node that started again while the
+// platform is away knows nobody: these two look for it.
 void catalog_control::ChoosePeers() {
   std::map<std::string, std::string> reader_of;  // By failure domain.
   std::vector<std::string> own_domain;
@@ -55,10 +57,10 @@
   }
   std::set<std::string> wanted;
   constexpr std::size_t kLinksInDomain = 2;
-  for (const std::string& vm : own_domain) {
-    if (wanted.size() < kLinksInDomain) {
-      wanted.insert(vm);
-    }
+  const auto heads = std::min(kLinksInDomain, own_domain.size());
+  wanted.insert(own_domain.begin(), own_domain.begin() + heads);
+  if (looks_for_others_ && wanted.contains(settings_.vm)) {
+    wanted.insert(own_domain.begin(), own_domain.end());
   }
   const bool is_alone = own_domain.size() <= 1;
   if (is_reader || is_alone) {
@@ -131,9 +133,10 @@
     if (now - known.ahead_since < kPeerPatience) {
       continue;
     }
-    // Near ones bring what they can by themselves: this is too much for a link.
+    // Near ones bring what they can by themselves: this is too much for a link,
+    // but if the platform is away there is no other way.
     known.ahead_since = now;
-    if (known.is_near) {
+    if (known.is_near && !feed_.IsFailing()) {
       feed_.NeedOwnRead();
     } else {
       links_.Send(peer, catalog_request_message{catalog_.CompleteTo()});
@@ -170,6 +173,7 @@
                                  std::string_view reason) {
   log_.Add(log_line{"peer-down"}.Text("peer", peer_vm).Text("reason", reason));
   peers_.erase(peer_vm);
+  are_peers_due_ = true;
 }
 
 void catalog_control::OnPeerMessage(const std::string& peer_vm,
--- a/Tests/Process/test_catalog.py
+++ b/Tests/Process/test_catalog.py
@@ -29,15 +29,19 @@
         store_address = ports.take()
         self.store = Store(store_address)
         self.backends, self.nodes = {}, {}
+        self.store_address = store_address
         self.store.write("op/config", configuration(3, ROUTES))
         for vm, (domain, service) in SERVICES.items():
-            backend = BackendServer(f"i-{vm[-1]}", f"{vm}:{self.ports['backend']}", service)
-            self.backends[vm] = backend
-            self.store.write(f"servers/{backend.identity}", backend.entry(domain))
-            self.write_settings(vm, domain, service, store_address)
-            self.start(vm)
+            self.add(domain, vm, service)
         self.wait_ready(SERVICES)
 
+    def add(self, domain, vm, service):
+        backend = BackendServer(f"i-{vm[-1]}", f"{vm}:{self.ports['backend']}", service)
+        self.backends[vm] = backend
+        self.store.write(f"servers/{backend.identity}", backend.entry(domain))
+        self.write_settings(vm, domain, service, self.store_address)
+        self.start(vm)
+
     def tearDown(self):
         for node in self.nodes.values():
             node.kill()
@@ -160,6 +164,22 @@
         self.wait_ready(["127.0.0.5"])
         self.assertEqual(self.call("127.0.0.5", "/history/1")[0], 200)
 
+    def test_each_node_of_a_domain_that_starts_again_without_the_store_learns_from_its_neighbours(self):
+        domain = ["127.0.0.2", "127.0.0.3"] + [f"127.0.0.{number}" for number in range(6, 9)]
+        for vm in domain[2:]:
+            self.add("hall-a", vm, "ledger")
+        self.wait_ready(domain)
+        # Both sides of each link have known each other for longer than a start of the whole fleet takes.
+        time.sleep(3.5)
+        self.store.is_down = True
+        for vm in domain:
+            self.nodes[vm].kill()
+            self.nodes[vm].wait()
+            time.sleep(0.6)
+            self.start(vm)
+            self.wait_ready([vm])
+            self.assertEqual(self.call(vm, "/history/1")[0], 200)
+
     def test_a_start_that_can_learn_nothing_refuses_as_not_run(self):
         self.store.is_down = True
         for node in self.nodes.values():
