--- a/Libraries/LibRouting/told_load.cc
+++ b/Libraries/LibRouting/told_load.cc
@@ -33,7 +33,8 @@
 // The distance from which another region begins.
 constexpr std::size_t kElsewhere = 2;
 
-// The like in what is known of a whole failure domain.
+// The weight of the newest word in what is known of a whole failure domain, as
+// a divisor. Source: as for single upstreams.
 constexpr int kDomainWeight = 4;
 
 bool IsRecent(time_point now, time_point at) {
