--- a/Libraries/LibNode/catalog_control_peers.cc
+++ b/Libraries/LibNode/catalog_control_peers.cc
@@ -57,8 +57,11 @@
   }
   std::set<std::string> wanted;
   constexpr std::size_t kLinksInDomain = 2;
-  const auto heads = std::min(kLinksInDomain, own_domain.size());
-  wanted.insert(own_domain.begin(), own_domain.begin() + heads);
+  for (const std::string& vm : own_domain) {
+    if (wanted.size() < kLinksInDomain) {
+      wanted.insert(vm);
+    }
+  }
   if (looks_for_others_ && wanted.contains(settings_.vm)) {
     wanted.insert(own_domain.begin(), own_domain.end());
   }
