Tests/LibTraffic: Ask a stopping process for each run, not for a share

Cause: under load the case failed once (11 runs, over 20 asked): with a second owner the choice goes by latency, which the test does not set. Ruled out: the stop (all requests were answered 200). Change: one owner, all 40 requests must run there; that is stricter.

--- a/Tests/LibTraffic/test_drain.cc
+++ b/Tests/LibTraffic/test_drain.cc
@@ -49,18 +49,17 @@
 }
 
 BOOST_AUTO_TEST_CASE(AStoppingProcessStillReachesItsBackendServer) {
-  traffic_fixture fixture{2};
+  traffic_fixture fixture{1};
   fixture.Publish();
   auto& stopping = fixture.Owner(1);
   stopping.server->BeginStop();
-  for (int call = 0; call < 40; ++call) {
+  for (int call = 0; call < 20; ++call) {
     const auto own = Call(stopping.caller, "POST", "/", "", "amount=20");
     BOOST_TEST(own.status == 200);
     BOOST_TEST(own.Field("Connection") == "close");
     BOOST_TEST(Call(fixture.Entry().caller, "GET", "/").status == 200);
   }
-  // Its own callers' requests, and about half of the entry's.
-  BOOST_TEST(stopping.backend_server->AllRuns() > 20);
+  BOOST_TEST(stopping.backend_server->AllRuns() == 40);
 }
 
 // The least bound on leaving is 2 s, and a node may learn of it 1.2 s late.
