LibNode: Write what a node tells of itself once

Cause: both kinds of node filled the same record by hand. Ruled out: joining the two stop sequences, which differ in times, margin and what they log; the default X-Deadline-Ms, the product's own interface (docs/PROTOCOLS.md). Change: OwnRecord() beside the settings, same fields and states; no behaviour changes.

--- a/Libraries/LibNode/catalog_control_peers.cc
+++ b/Libraries/LibNode/catalog_control_peers.cc
@@ -150,14 +150,7 @@
 
 hello_message catalog_control::MakeHello(std::string_view) {
   hello_message hello;
-  hello.sender = {.vm = settings_.vm,
-                  .region = settings_.region,
-                  .failure_domain = settings_.failure_domain,
-                  .service = settings_.service,
-                  .peer = settings_.advertised_peer,
-                  .hop = settings_.advertised_hop,
-                  .incarnation = static_cast<std::uint64_t>(started_),
-                  .state = vm_state::kServing};
+  hello.sender = OwnRecord(settings_, started_, vm_state::kServing);
   return hello;
 }
 
--- a/Libraries/LibNode/control_plane.cc
+++ b/Libraries/LibNode/control_plane.cc
@@ -25,17 +25,6 @@
 constexpr std::size_t kRefusalCapacity = 32;
 constexpr std::uint64_t kSeedOfLinks = 0x6c696e6b;
 
-vm_record SelfRecord(const node_settings& settings, std::int64_t started) {
-  return {.vm = settings.vm,
-          .region = settings.region,
-          .failure_domain = settings.failure_domain,
-          .service = settings.service,
-          .peer = settings.advertised_peer,
-          .hop = settings.advertised_hop,
-          .incarnation = static_cast<std::uint64_t>(started),
-          .state = vm_state::kStarting};
-}
-
 folder_reader::settings ReaderSettings(const node_settings& settings) {
   folder_reader::settings chosen;
   chosen.fleet_size = settings.expected_vms;
@@ -83,7 +72,8 @@
       started_(clock.UnixMilliseconds()),
       random_(seed),
       events_(clock, kEventCapacity),
-      membership_({}, SelfRecord(settings_, started_), clock.Now()),
+      membership_({}, OwnRecord(settings_, started_, vm_state::kStarting),
+                  clock.Now()),
       spreader_({.vm = settings_.vm}, seed, clock.Now()),
       gate_({.join_wait = settings_.join_wait}, clock.Now()),
       budget_({.vm = settings_.vm,
--- a/Libraries/LibNode/settings.cc
+++ b/Libraries/LibNode/settings.cc
@@ -196,4 +196,16 @@
   return settings;
 }
 
+vm_record OwnRecord(const node_settings& settings, std::int64_t started,
+                    vm_state state) {
+  return {.vm = settings.vm,
+          .region = settings.region,
+          .failure_domain = settings.failure_domain,
+          .service = settings.service,
+          .peer = settings.advertised_peer,
+          .hop = settings.advertised_hop,
+          .incarnation = static_cast<std::uint64_t>(started),
+          .state = state};
+}
+
 }  // namespace wagtailmount
--- a/Libraries/LibNode/settings.h
+++ b/Libraries/LibNode/settings.h
@@ -59,4 +59,9 @@
 tl::expected<node_settings, std::vector<document_fault>> ParseNodeSettings(
     std::string_view text);
 
+/// What this node tells peers of itself. `started` are milliseconds of Unix
+/// time: a later start has a higher incarnation.
+vm_record OwnRecord(const node_settings& settings, std::int64_t started,
+                    vm_state state);
+
 }  // namespace wagtailmount
