Tests/Process: Start callers at each node in turn, and ask each upstream for its share

Change: callers live at the nodes in turn; each failure domain's own upstream must serve more than half of its callers' requests, beside the old condition. That is stricter.

--- a/Tests/Process/load.py
+++ b/Tests/Process/load.py
@@ -48,7 +48,8 @@
         self._going = True
         self._threads = [
             threading.Thread(target=self._run, daemon=True,
-                             args=(f"{seed}-{number}",))
+                             args=(f"{seed}-{number}",
+                                   self.nodes[number % len(self.nodes)]))
             for number in range(callers)]
 
     def __enter__(self):
@@ -61,11 +62,10 @@
         for thread in self._threads:
             thread.join(ANSWER_SECONDS + 2)
 
-    def _run(self, name):
+    def _run(self, name, node):
         chance = random.Random(name)
         connections = {}
         number = 0
-        node = chance.choice(self.nodes)
         while self._going:
             number += 1
             method, path = KINDS[chance.randrange(len(KINDS))]
--- a/Tests/Process/test_traffic.py
+++ b/Tests/Process/test_traffic.py
@@ -62,6 +62,11 @@
         self.assertTrue(all(fleet.ran().values()))
         served_by = {one.backend for one in load.outcomes}
         self.assertEqual(served_by, set(fleet.backends))
+        # Each failure domain has callers and an upstream of its own.
+        for vm in fleet.backends:
+            own = [one for one in load.outcomes if one.node == vm]
+            near = sum(one.backend == vm for one in own)
+            self.assertGreater(near, len(own) / 2, f"served near {vm}")
 
     def test_rolling_restart_cuts_nothing(self):
         fleet = self.run_fleet()
