LibCatalog: Let the VMs with a fast link read the platform for the others

Ruled out: the processor (configuration in force and the next news logged within 50 ms of their arrival), the store (stable), the owner's notice of 0.8 s (it had not heard at all). Change: reader_ranking, without I/O: VMs with a link of 40 Mbit/s or more come first, then the hash as before. The own rate is a setting; nodes tell their peers of the failure domain whose link is fast in the state message, one field more. What a VM says of itself goes before what others say, for addresses are used again.

--- /dev/null
+++ b/Libraries/LibCatalog/reader_ranking.cc
@@ -0,0 +1,76 @@
+#include "LibCatalog/reader_ranking.h"
+
+#include <algorithm>
+#include <tuple>
+
+#include "LibBase/digest.h"
+
+namespace wagtailmount {
+
+bool reader_ranking::HearOf(const std::string& peer,
+                            std::span<const std::string> fast_vms) {
+  const bool is_fast =
+      std::find(fast_vms.begin(), fast_vms.end(), peer) != fast_vms.end();
+  const auto [known, is_new] = by_own_word_.try_emplace(peer, is_fast);
+  bool has_changed = is_new || known->second != is_fast;
+  known->second = is_fast;
+  for (const std::string& vm : fast_vms) {
+    if (vm != peer && vm != own_vm_) {
+      has_changed |= told_by_others_.insert(vm).second;
+    }
+  }
+  return has_changed;
+}
+
+// A node takes its own link into account only when it has heard of others:
+// before that, each of many alike would take itself for the one fast VM.
+bool reader_ranking::IsFast(const std::string& vm) const {
+  if (vm == own_vm_) {
+    return is_own_fast_ && !by_own_word_.empty();
+  }
+  const auto said = by_own_word_.find(vm);
+  return said != by_own_word_.end() ? said->second
+                                    : told_by_others_.contains(vm);
+}
+
+std::vector<std::string> reader_ranking::FastVms(std::size_t most) const {
+  std::set<std::string> fast;
+  for (const auto& [vm, is_fast] : by_own_word_) {
+    if (is_fast) {
+      fast.insert(vm);
+    }
+  }
+  for (const std::string& vm : told_by_others_) {
+    if (IsFast(vm)) {
+      fast.insert(vm);
+    }
+  }
+  std::vector<std::string> told(fast.begin(), fast.end());
+  Sort(told);
+  told.resize(std::min(told.size(), most - 1));
+  if (is_own_fast_) {
+    told.push_back(own_vm_);
+  }
+  return told;
+}
+
+void reader_ranking::Sort(std::vector<std::string>& vms) const {
+  const auto rank = [this](const std::string& vm) {
+    return std::tuple{!IsFast(vm), HashOf(vm)};
+  };
+  std::sort(vms.begin(), vms.end(),
+            [&rank](const std::string& left, const std::string& right) {
+              return rank(left) < rank(right);
+            });
+}
+
+void reader_ranking::KeepOnly(std::span<const std::string> vms) {
+  const auto is_gone = [vms](const std::string& vm) {
+    return std::find(vms.begin(), vms.end(), vm) == vms.end();
+  };
+  std::erase_if(by_own_word_,
+                [&](const auto& entry) { return is_gone(entry.first); });
+  std::erase_if(told_by_others_, is_gone);
+}
+
+}  // namespace wagtailmount
--- a/Libraries/LibLink/message.h
+++ b/Libraries/LibLink/message.h
@@ -104,9 +104,13 @@
 /// "My catalog is complete up to this revision." Sent every while, which is the
 /// heartbeat of a link too.
 struct catalog_state_message {
+  static constexpr std::size_t kMostFastVms = 4;
+
   std::uint64_t complete_to = 0;
   /// Time since the sender surely held the platform's newest state.
   std::chrono::milliseconds source_age{0};
+  /// VMs of the sender's failure domain whose link it knows to be fast.
+  std::vector<std::string> fast_vms;
 };
 
 /// "Send me what changed after this revision."
--- a/Libraries/LibLink/message_decoder.cc
+++ b/Libraries/LibLink/message_decoder.cc
@@ -267,10 +267,15 @@
 }
 
 message ReadCatalogState(const json& fields, std::string& fault) {
-  array_reader reader(fields, "catalog state", 2, fault);
+  constexpr std::size_t kItems = 3;
+  array_reader reader(fields, "catalog state", kItems, fault);
   catalog_state_message state;
   state.complete_to = reader.Number("complete to", kAnyNumber);
   state.source_age = ReadAge(reader, "source age");
+  state.fast_vms = ReadList(reader.Any(), fault, ReadListedName);
+  if (state.fast_vms.size() > catalog_state_message::kMostFastVms) {
+    reader.SetFault("fast VMs", "are too many");
+  }
   return state;
 }
 
--- a/Libraries/LibLink/message_encoder.cc
+++ b/Libraries/LibLink/message_encoder.cc
@@ -115,7 +115,8 @@
 }
 
 json FieldsOf(const catalog_state_message& state) {
-  return json::array({state.complete_to, ToCbor(state.source_age)});
+  return json::array(
+      {state.complete_to, ToCbor(state.source_age), state.fast_vms});
 }
 
 json FieldsOf(const catalog_request_message& request) {
--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -65,6 +65,7 @@
       started_at_(clock.Now()),
       feed_({}, seed),
       directory_(DirectorySettings(settings)),
+      ranking_(settings.vm, settings.link_megabits_per_second),
       links_(LinkSettings(settings), clock, *this, seed + 1) {}
 
 void catalog_control::Tick() {
--- a/Libraries/LibNode/catalog_control.h
+++ b/Libraries/LibNode/catalog_control.h
@@ -15,6 +15,7 @@
 #include "LibCatalog/catalog_feed.h"
 #include "LibCatalog/catalog_format.h"
 #include "LibCatalog/catalog_source.h"
+#include "LibCatalog/reader_ranking.h"
 #include "LibCatalog/upstream_directory.h"
 #include "LibLog/structured_log.h"
 #include "LibNode/peer_links.h"
@@ -96,6 +97,7 @@
   void SendToPeers(time_point now);
   void RequestWhatIsLacking(time_point now);
   std::chrono::milliseconds AgeToTell() const;
+  void SendState(const std::string& peer_vm, bool is_near);
   void Handle(const std::string& peer_vm, const catalog_state_message& state);
   void Handle(const std::string& peer_vm,
               const catalog_request_message& request);
@@ -112,6 +114,7 @@
   catalog catalog_;
   catalog_feed feed_;
   upstream_directory directory_;
+  reader_ranking ranking_;
   peer_links links_;
 
   std::shared_ptr<const configuration> in_force_;
--- a/Libraries/LibNode/catalog_control_peers.cc
+++ b/Libraries/LibNode/catalog_control_peers.cc
@@ -29,9 +29,9 @@
 
 }  // namespace
 
-// In each failure domain the VM of the lowest hash reads the platform, and the
-// next one stands by. Both have links to all nodes of their failure domain, and
-// the readers have links to each other. A node that started again while the
+// In each failure domain the first VM by reader_ranking reads the platform, and
+// the next one stands by. Both have links to all nodes of their failure domain,
+// and the readers have links to each other. A node that started again while the
 // platform is away knows nobody: these two look for it.
 void catalog_control::ChoosePeers() {
   std::map<std::string, std::string> reader_of;  // By failure domain.
@@ -48,7 +48,8 @@
       own_domain.push_back(each.vm);
     }
   }
-  std::sort(own_domain.begin(), own_domain.end(), is_before);
+  ranking_.KeepOnly(own_domain);
+  ranking_.Sort(own_domain);
   const bool is_reader =
       !own_domain.empty() && own_domain.front() == settings_.vm;
   if (is_reader != feed_.IsReader()) {
@@ -118,11 +119,19 @@
     const bool is_relied_on = known.is_near && feed_.IsReader();
     const bool is_due = is_relied_on ? is_state_due : is_slow_due;
     if (is_due || known.complete_to < complete_to) {
-      links_.Send(peer, catalog_state_message{complete_to, AgeToTell()});
+      SendState(peer, known.is_near);
     }
   }
 }
 
+void catalog_control::SendState(const std::string& peer_vm, bool is_near) {
+  catalog_state_message state{catalog_.CompleteTo(), AgeToTell(), {}};
+  if (is_near) {
+    state.fast_vms = ranking_.FastVms(catalog_state_message::kMostFastVms);
+  }
+  links_.Send(peer_vm, state);
+}
+
 // Most of the time the own reader brings the same a moment later.
 void catalog_control::RequestWhatIsLacking(time_point now) {
   for (auto& [peer, known] : peers_) {
@@ -157,12 +166,9 @@
 void catalog_control::OnPeerUp(const std::string& peer_vm,
                                const hello_message& hello) {
   log_.Add(log_line{"peer-up"}.Text("peer", peer_vm));
-  peers_[peer_vm] = {
-      .complete_to = 0,
-      .is_near = hello.sender.failure_domain == settings_.failure_domain,
-      .ahead_since = {}};
-  links_.Send(peer_vm,
-              catalog_state_message{catalog_.CompleteTo(), AgeToTell()});
+  const bool is_near = hello.sender.failure_domain == settings_.failure_domain;
+  peers_[peer_vm] = {.complete_to = 0, .is_near = is_near, .ahead_since = {}};
+  SendState(peer_vm, is_near);
 }
 
 void catalog_control::OnPeerDown(const std::string& peer_vm,
@@ -186,7 +192,11 @@
 
 void catalog_control::Handle(const std::string& peer_vm,
                              const catalog_state_message& state) {
-  peers_[peer_vm].complete_to = state.complete_to;
+  peer_facts& known = peers_[peer_vm];
+  known.complete_to = state.complete_to;
+  if (known.is_near && ranking_.HearOf(peer_vm, state.fast_vms)) {
+    are_peers_due_ = true;
+  }
   if (state.complete_to == catalog_.CompleteTo()) {
     feed_.HearOfPeer(clock_.Now(), state.source_age);
   } else {
--- a/Libraries/LibNode/settings.cc
+++ b/Libraries/LibNode/settings.cc
@@ -12,6 +12,7 @@
 constexpr std::uint64_t kMaximumCallsPerSecond = 1'000'000;
 constexpr std::uint64_t kMaximumVms = 1'000'000;
 constexpr std::uint64_t kMaximumTrafficThreads = 64;
+constexpr double kMaximumLinkMegabits = 10e6;
 constexpr std::uint64_t kMaximumDrainGraceMs = 600'000;
 constexpr std::uint64_t kMaximumJoinWaitMs = 60'000;
 constexpr std::uint64_t kDefaultDrainGraceMs = 30'000;
@@ -179,6 +180,8 @@
   settings.seeds = ReadEndpoints(root, "seeds");
   settings.traffic_threads = static_cast<std::uint32_t>(
       root.OptionalNumber("traffic_threads", 1, 1, kMaximumTrafficThreads));
+  settings.link_megabits_per_second = root.OptionalFraction(
+      "link_megabits_per_second", 0.0, 0.0, kMaximumLinkMegabits);
   settings.drain_grace = std::chrono::milliseconds(root.OptionalNumber(
       "drain_grace_ms", kDefaultDrainGraceMs, 0, kMaximumDrainGraceMs));
   ReadDrainGraceText(root, settings);
--- a/Libraries/LibNode/settings.h
+++ b/Libraries/LibNode/settings.h
@@ -44,6 +44,7 @@
                                    ///< before the list is known.
   std::vector<endpoint> seeds;     ///< Peers to ask first; may be empty.
   std::uint32_t traffic_threads = 1;
+  double link_megabits_per_second = 0.0;  ///< Of this VM; 0: not told.
   /// Repeats of all nodes together, as a share of a service's requests and a
   /// number beyond that; only with a catalog.
   double retry_share = 0.1;
--- /dev/null
+++ b/Tests/LibCatalog/test_reader_ranking.cc
@@ -0,0 +1,117 @@
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "LibCatalog/reader_ranking.h"
+
+using namespace wagtailmount;  // NOLINT(google-build-using-namespace)
+
+namespace {
+
+constexpr double kSlow = 5.0;
+constexpr double kFast = 100.0;
+constexpr std::size_t kMostTold = 4;
+
+// The nodes of one failure domain, each linked to the two that it ranks first.
+class domain_of_nodes {
+ public:
+  explicit domain_of_nodes(const std::map<std::string, double>& links) {
+    for (const auto& [vm, megabits] : links) {
+      vms_.push_back(vm);
+      nodes_.emplace(vm, reader_ranking{vm, megabits});
+    }
+  }
+
+  void TellEachOther() {
+    for (const std::string& vm : vms_) {
+      for (const std::string& peer : FirstTwoFor(vm)) {
+        if (peer != vm) {
+          nodes_.at(peer).HearOf(vm, nodes_.at(vm).FastVms(kMostTold));
+          nodes_.at(vm).HearOf(peer, nodes_.at(peer).FastVms(kMostTold));
+        }
+      }
+    }
+  }
+
+  std::vector<std::string> FirstTwoFor(const std::string& vm) const {
+    std::vector<std::string> order = vms_;
+    nodes_.at(vm).Sort(order);
+    order.resize(2);
+    return order;
+  }
+
+  int ReadersByOwnWord() const {
+    return static_cast<int>(
+        std::count_if(vms_.begin(), vms_.end(), [this](const std::string& vm) {
+          return FirstTwoFor(vm).front() == vm;
+        }));
+  }
+
+  const std::vector<std::string>& Vms() const { return vms_; }
+  reader_ranking& Of(const std::string& vm) { return nodes_.at(vm); }
+
+ private:
+  std::vector<std::string> vms_;
+  std::map<std::string, reader_ranking> nodes_;
+};
+
+std::map<std::string, double> Links(int slow, int fast) {
+  std::map<std::string, double> links;
+  for (int number = 0; number < slow + fast; ++number) {
+    links["10.0.0." + std::to_string(number + 1)] =
+        number < slow ? kSlow : kFast;
+  }
+  return links;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(reader_ranking_suite)
+
+BOOST_AUTO_TEST_CASE(TheFastLinksReadForTheSlowOnes) {
+  domain_of_nodes domain{Links(16, 2)};
+  for (int round = 0; round < 4; ++round) {
+    domain.TellEachOther();
+  }
+  const std::vector<std::string> fast{"10.0.0.17", "10.0.0.18"};
+  for (const std::string& vm : domain.Vms()) {
+    auto first = domain.FirstTwoFor(vm);
+    std::sort(first.begin(), first.end());
+    BOOST_TEST(first == fast, boost::test_tools::per_element());
+  }
+  BOOST_TEST(domain.ReadersByOwnWord() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AmongAlikeLinksOneReadsFromTheStart) {
+  for (const auto& links : {Links(12, 0), Links(0, 12)}) {
+    domain_of_nodes domain{links};
+    BOOST_TEST(domain.ReadersByOwnWord() == 1);
+    domain.TellEachOther();
+    BOOST_TEST(domain.ReadersByOwnWord() == 1);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AVmThatIsGoneIsForgotten) {
+  domain_of_nodes domain{Links(5, 1)};
+  for (int round = 0; round < 4; ++round) {
+    domain.TellEachOther();
+  }
+  reader_ranking& node = domain.Of("10.0.0.1");
+  BOOST_TEST(node.FastVms(kMostTold).size() == 1U);
+  node.KeepOnly(std::vector<std::string>{"10.0.0.1", "10.0.0.2"});
+  BOOST_TEST(node.FastVms(kMostTold).empty());
+}
+
+// An address is used again by a VM with a slow link.
+BOOST_AUTO_TEST_CASE(WhatAVmSaysOfItselfGoesBeforeWhatOthersSay) {
+  reader_ranking node{"a", kSlow};
+  const std::vector<std::string> told{"b", "c"};
+  BOOST_TEST(node.HearOf("b", told));
+  BOOST_TEST(!node.HearOf("b", told));
+  BOOST_TEST(node.HearOf("c", {}));
+  BOOST_TEST(!node.HearOf("b", told));
+  BOOST_TEST(node.FastVms(kMostTold) == std::vector<std::string>{"b"},
+             boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibNode/test_settings.cc
+++ b/Tests/LibNode/test_settings.cc
@@ -51,6 +51,8 @@
      "$.advertise.admin", "is not a known key"},
     {R"("seeds": ["127.0.0.1:7103"])", R"("seeds": [7103])", "$.seeds",
      "must hold only texts"},
+    {R"("seeds": [)", R"("link_megabits_per_second": -1, "seeds": [)",
+     "$.link_megabits_per_second", "must be a number from 0"},
     {R"("listen": {)", R"("listen": 3, "x": {)", "$.listen",
      "must be an object"},
     {R"("service": "ledger",)", R"("service" "ledger",)", "$", "line 4"},
