LibRouting: Foresee full owners by their failure domain, and keep queues short

An owner's word of a second ago was halved as if its queue had drained, while the other owners of the domain told a full one now; near owners were asked even when they had just said that they would refuse; and accepted requests waited until only a service of 1.25 times the mean was on time. Change: TimelyWait(), one formula for admission and for foreseeing it: a wait leaves 1.5 times the mean service, or half of what 1.25 times leaves where that is more. Old words give way to the domain's mean. An owner that said of late that it is full is not asked, near ones too; when all are, the refusal comes at once.

--- a/Libraries/LibLoad/admission.cc
+++ b/Libraries/LibLoad/admission.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "LibRouting/timely_wait.h"
+
 namespace wagtailmount {
 
 namespace {
@@ -12,27 +14,18 @@
 /// it has left. Source: an eighth of the objective is what callers don't feel,
 /// and those that come back have about as long as their objective left.
 constexpr int kLateWaitDivisor = 6;
-/// How much longer than the mean a request is expected to take, in quarters, so
-/// that most of those accepted are on time. Source: three of four requests with
-/// a spread of 0.3 take less.
-constexpr int kServiceQuarters = 5;
-constexpr int kQuarters = 4;
 
 void MixIn(duration& mean, duration taken) {
   mean = mean == duration::zero() ? taken
                                   : mean + (taken - mean) / kDurationWeight;
 }
 
-duration LongService(duration service) {
-  return service * kServiceQuarters / kQuarters;
-}
-
 }  // namespace
 
 bool IsLate(time_point now, const arriving_request& arriving,
             duration service) {
   return arriving.objective != time_point{} &&
-         arriving.objective - now < LongService(service);
+         TimelyWait(arriving.objective - now, service) < duration::zero();
 }
 
 duration LongestWait(time_point now, const arriving_request& arriving,
@@ -44,7 +37,7 @@
   if (IsLate(now, arriving, service)) {
     return until_deadline / kLateWaitDivisor;
   }
-  return arriving.objective - now - LongService(service);
+  return TimelyWait(arriving.objective - now, service);
 }
 
 std::size_t admission::Slots() const {
--- a/Libraries/LibRouting/told_load.cc
+++ b/Libraries/LibRouting/told_load.cc
@@ -5,6 +5,7 @@
 #include <tuple>
 
 #include "LibRouting/distant_offer.h"
+#include "LibRouting/timely_wait.h"
 #include "LibRouting/upstream_choice.h"
 
 namespace wagtailmount {
@@ -16,13 +17,12 @@
 
 // For so long the load that an owner told goes before own observations.
 constexpr seconds kToldTime{3};
-// In that time half of the wait that was told has been worked off. Source: the
-// order of a burst's length; asking sooner is mostly in vain.
+// In that time half of what an owner told has given way to what its failure
+// domain tells, and half of that to nothing. Source: the order of a burst's
+// length; asking sooner is mostly in vain.
 constexpr milliseconds kToldHalfLife{1'000};
 // The weight of the newest overhead, as a divisor.
 constexpr int kOverheadWeight = 4;
-// How much longer than told a service may take. Source: as owners reckon.
-constexpr double kLongService = 1.25;
 // Owners with a free slot or nearly so tell a wait below this.
 constexpr milliseconds kLeastWait{10};
 // How much sooner the answer to a request that is late already must be expected
@@ -119,8 +119,18 @@
 
 double upstream_chooser::ToldWait(time_point now,
                                   const observations& seen) const {
-  const told_wait& told = LastTold(now, seen);
-  return SecondsOf(told.wait) * KeptShare(now, told.at) +
+  const std::size_t rank = IndexOf(wish_.rank);
+  const told_wait& of_domain = domains_[seen.domain].told[rank];
+  const double domain_wait =
+      IsRecent(now, of_domain.at)
+          ? SecondsOf(of_domain.wait) * KeptShare(now, of_domain.at)
+          : 0.0;
+  if (!HasToldOfLate(now, seen)) {
+    return domain_wait;
+  }
+  const told_wait& told = seen.told[rank];
+  const double kept = KeptShare(now, told.at);
+  return SecondsOf(told.wait) * kept + domain_wait * (1.0 - kept) +
          SecondsOf(told.service) * told.begun_since / seen.told_slots;
 }
 
@@ -128,13 +138,13 @@
   if (wish_.longest_wait == duration::max() || !IsTold(now, seen)) {
     return false;
   }
-  // As its owner would decide: the wait and then a long service end before the
-  // objective.
-  double longest = SecondsOf(wish_.longest_wait);
-  if (wish_.objective_left > duration::zero()) {
-    longest -= kLongService * ToldService(now, seen);
-  }
-  return ToldWait(now, seen) >= std::max(longest, SecondsOf(kLeastWait));
+  // As its owner would decide.
+  const duration longest =
+      wish_.objective_left > duration::zero()
+          ? TimelyWait(wish_.longest_wait, LastTold(now, seen).service)
+          : wish_.longest_wait;
+  return ToldWait(now, seen) >=
+         SecondsOf(std::max<duration>(longest, kLeastWait));
 }
 
 bool upstream_chooser::IsTimelyEnough(time_point now, std::size_t near,
--- a/Libraries/LibRouting/upstream_choice.cc
+++ b/Libraries/LibRouting/upstream_choice.cc
@@ -227,11 +227,14 @@
 }
 
 // Leaves the nearest in `candidates_` and puts the others into `farther_`.
-// Those of other failure domains that are full are in neither.
+// Those that would refuse are in neither; near ones that said so themselves of
+// late, unless the request is late anyway and fills gaps that nobody tells of.
 void upstream_chooser::SplitByDistance(time_point now,
                                        std::span<const upstream> upstreams) {
   std::erase_if(candidates_, [&](std::size_t index) {
-    return DistanceOf(upstreams[index]) != kOwnDomain &&
+    const bool is_sure = wish_.objective_left > duration::zero() &&
+                         HasToldOfLate(now, seen_[index]);
+    return (is_sure || DistanceOf(upstreams[index]) != kOwnDomain) &&
            IsFull(now, seen_[index]);
   });
   int nearest = kElsewhere;
