LibCatalog: Let the reader list first when the platform forgets its history

The platform had been silent for a second, so all 74 nodes watched by themselves, and when it forgot its history (2.88 s) all listed the whole catalog at once, 370 KB each on links of 5 Mbit/s. Ruled out: the upstreams (owners told waits of 119 ms in the median, and none failed), the scale-in of one upstream. Change: a node that is no reader leaves the listing to its reader for 0.8 to 1.2 s after the conflict; fed by then, it needs none. The bound on leaving upstreams holds: the store is not stable in that time, and its end adds 3 s. Test: AForgottenHistoryIsListedByTheReaderFirst (fails before); the readers' case stands.

--- a/Libraries/LibCatalog/catalog_feed.cc
+++ b/Libraries/LibCatalog/catalog_feed.cc
@@ -53,7 +53,9 @@
     // The platform has forgotten its history; it answers all the same.
     needs_listing_ = true;
     may_list_stale_ = false;
-    next_call_ = now;
+    next_call_ = is_reader_ ? now
+                            : now + settings_.listing_grace +
+                                  UpTo(settings_.listing_grace / 2);
     return;
   }
   if (failure) {
@@ -83,9 +85,12 @@
   const std::uint32_t doublings = std::min(failures_in_row_ - 1, 5U);
   const milliseconds pause =
       std::min(settings_.first_backoff * (1 << doublings), longest);
-  next_call_ = now + pause / 2 +
-               milliseconds{random_.Below(
-                   static_cast<std::uint64_t>(pause.count() / 2) + 1)};
+  next_call_ = now + pause / 2 + UpTo(pause / 2);
+}
+
+milliseconds catalog_feed::UpTo(milliseconds most) {
+  return milliseconds{
+      random_.Below(static_cast<std::uint64_t>(most.count()) + 1)};
 }
 
 void catalog_feed::HearOfPeer(time_point now, milliseconds age) {
--- a/Libraries/LibCatalog/catalog_feed.h
+++ b/Libraries/LibCatalog/catalog_feed.h
@@ -22,6 +22,9 @@
 /// that it holds the newest state. Readers watch all the time; the others only
 /// while no peer brings them fresh news, so that the platform's calls grow with
 /// the failure domains and not with the nodes.
+///
+/// Answers the load pattern of a platform that forgets its history: if all
+/// nodes list at once, their links are full for a second and requests late.
 class catalog_feed {
  public:
   struct settings {
@@ -34,6 +37,10 @@
     /// How long a node that has just listed waits for its peers' news. Source:
     /// a few round trips between failure domains and a link's handshake.
     std::chrono::milliseconds peer_grace{600};
+    /// How long a node that is no reader leaves the listing to its reader when
+    /// the platform has forgotten its history: at least, and up to half as much
+    /// again. Source: a listing over a link of 5 Mbit/s takes 0.7 s.
+    std::chrono::milliseconds listing_grace{800};
     std::chrono::milliseconds first_backoff{150};
     std::chrono::milliseconds longest_backoff{600};
     /// Of nodes that are no readers. Source: the time in which a reader's news
@@ -76,6 +83,7 @@
  private:
   bool IsFedByPeers(time_point now) const;
   void PutOff(time_point now);
+  std::chrono::milliseconds UpTo(std::chrono::milliseconds most);
 
   settings settings_;
   random_source random_;
--- a/Tests/LibCatalog/test_catalog_feed.cc
+++ b/Tests/LibCatalog/test_catalog_feed.cc
@@ -85,6 +85,22 @@
   BOOST_TEST(!feed.IsFailing());
 }
 
+// Load pattern: all nodes of a failure domain watched by themselves when the
+// platform forgot its history. The reader lists and feeds the others.
+BOOST_AUTO_TEST_CASE(AForgottenHistoryIsListedByTheReaderFirst) {
+  Call(feed_call::kListStale);
+  clock.Advance(milliseconds{700});
+  Call(feed_call::kWatch, error_kind::kConflict);
+  BOOST_TEST((Next(7) == feed_call::kNone));
+  clock.Advance(milliseconds{750});
+  BOOST_TEST((Next(7) == feed_call::kNone));
+  // Without a reader's word it lists by itself.
+  clock.Advance(milliseconds{500});
+  BOOST_TEST((Next(7) == feed_call::kList));
+  feed.HearOfPeer(clock.Now(), milliseconds{50});
+  BOOST_TEST((Next(9) == feed_call::kNone));
+}
+
 BOOST_AUTO_TEST_CASE(FailedCallsArePutOffFurtherAndFurther) {
   feed.SetReader(true);
   Call(feed_call::kListStale);
