LibLoad: Let late requests wait long only where late ones were started

Change: an owner counts, by rank, which late requests that waited were started. Below a half of the last sixteen or so, a late one waits for a sixth of its time, else for a half. Test: InALastingOverloadNobodyIsHeldInVain (fails with a half always: 2,244 s in vain, bound 1,142 s); AColdStartIsBridged stands.

--- a/Libraries/LibLoad/admission.cc
+++ b/Libraries/LibLoad/admission.cc
@@ -11,10 +11,16 @@
 /// The weight of the newest request in a mean duration, as a divisor.
 constexpr int kDurationWeight = 16;
 /// A request that can't be on time any more may wait for that part of the time
-/// it has left, so that the other half is left for its work and for another
-/// try. Source: callers that may come back twice then reach over three seconds,
-/// which is what upstreams need to get warm.
-constexpr int kLateWaitDivisor = 2;
+/// it has left: while most of those before it were started, and while not.
+/// Source: with a half, callers that may come back twice reach over three
+/// seconds, which is what upstreams need to get warm; in a lasting overload a
+/// wait is mostly in vain, and who called for it holds a slot meanwhile.
+constexpr int kHopefulWaitDivisor = 2;
+constexpr int kVainWaitDivisor = 6;
+/// From that share of started ones on a wait is hopeful.
+constexpr double kHopefulShare = 0.5;
+/// The weight of the newest late request in that share, as a divisor.
+constexpr double kStartedWeight = 16.0;
 
 void MixIn(duration& mean, duration taken) {
   mean = mean == duration::zero() ? taken
@@ -36,7 +42,7 @@
     return until_deadline;
   }
   if (IsLate(now, arriving, service)) {
-    return until_deadline / kLateWaitDivisor;
+    return until_deadline / kVainWaitDivisor;
   }
   return TimelyWait(arriving.objective - now, service);
 }
@@ -89,8 +95,12 @@
   // A request that would wait for too long is refused at once, while its caller
   // still has time to go elsewhere.
   const duration service = DurationOf(arriving.rank);
-  const duration longest = LongestWait(now, arriving, service);
   const queue_key key{arriving.rank, IsLate(now, arriving, service)};
+  const bool is_hopeful =
+      key.is_late && started_of_late_[key.rank].share >= kHopefulShare;
+  const duration longest = is_hopeful
+                               ? (arriving.deadline - now) / kHopefulWaitDivisor
+                               : LongestWait(now, arriving, service);
   if (ExpectedWait(key) >= longest) {
     reply.refused = arriving.objective == time_point{}
                         ? refusal_cause::kTooLate
@@ -145,8 +155,12 @@
 bool admission::Withdraw(admission_id id) {
   std::size_t count = 0;
   for (auto& [key, queue] : waiting_) {
-    count += std::erase_if(
+    const std::size_t erased = std::erase_if(
         queue, [id](const waiting_request& each) { return each.id == id; });
+    if (erased > 0) {
+      CountEnded(key, false);
+    }
+    count += erased;
   }
   return count > 0;
 }
@@ -157,6 +171,7 @@
     std::erase_if(queue, [&](const waiting_request& each) {
       const bool is_late = each.start_by <= now;
       if (is_late) {
+        CountEnded(key, false);
         effects.push_back({each.id, each.request.deadline <= now
                                         ? refusal_cause::kTooLate
                                         : refusal_cause::kOverloaded});
@@ -176,11 +191,19 @@
     queue.pop_front();
     running_.emplace(id, running_request{now, key.rank});
     effects.push_back({id, refusal_cause::kNone});
+    CountEnded(key, true);
     return true;
   }
   return false;
 }
 
+void admission::CountEnded(queue_key key, bool is_started) {
+  if (key.is_late) {
+    double& share = started_of_late_[key.rank].share;
+    share += ((is_started ? 1.0 : 0.0) - share) / kStartedWeight;
+  }
+}
+
 void admission::LearnDuration(request_priority rank, duration taken) {
   MixIn(mean_duration_, taken);
   MixIn(duration_of_rank_[rank], taken);
--- a/Tests/LibLoad/test_load_patterns.cc
+++ b/Tests/LibLoad/test_load_patterns.cc
@@ -72,12 +72,15 @@
 
   const outcome_counts& Of(request_priority rank) { return counts_[rank]; }
   int Overrun() const { return overrun_; }
+  /// Of all those that were queued and then refused.
+  duration WaitedInVain() const { return waited_in_vain_; }
 
  private:
   struct caller {
     request_priority rank;
     time_point began;
     int returns;
+    time_point queued_at{};
   };
 
   void Ask(const caller& asking) {
@@ -90,6 +93,7 @@
       return;
     }
     callers_[reply.id] = asking;
+    callers_[reply.id].queued_at = clock_.Now();
     if (reply.decided == admission_reply::kind::kStart) {
       Start(reply.id);
     }
@@ -128,6 +132,7 @@
       } else {
         const caller asked = callers_[effect.id];
         callers_.erase(effect.id);
+        waited_in_vain_ += clock_.Now() - asked.queued_at;
         Refuse(asked);
       }
     }
@@ -165,6 +170,7 @@
   std::multimap<time_point, caller> returning_;
   std::map<request_priority, outcome_counts> counts_;
   int overrun_ = 0;
+  duration waited_in_vain_{};
 };
 
 // 18 slots of 160 ms carry 112 requests a second.
@@ -229,6 +235,19 @@
   BOOST_TEST(replay.Of(kUsual).refused < 0.005 * replay.Of(kUsual).asked);
 }
 
+// In a lasting overload there is no gap for those who are late: they learn it
+// soon instead of being held.
+BOOST_AUTO_TEST_CASE(InALastingOverloadNobodyIsHeldInVain) {
+  owner_replay replay{{.arrivals_a_second = 2.0 * kCapacity,
+                       .deadline = milliseconds{4'000},
+                       .told_returns = 2},
+                      7};
+  replay.Run(milliseconds{20'000});
+  const int refused = replay.Of(kUsual).refused + replay.Of(kUrgent).refused;
+  // As a share of each caller's deadline.
+  BOOST_TEST(SecondsOf(replay.WaitedInVain()) < 0.15 * 4.0 * refused);
+}
+
 // An upstream five times slower serves a fifth, and refuses the rest at once
 // instead of making it late.
 BOOST_AUTO_TEST_CASE(ASlowUpstreamAcceptsLess) {
