LibTraffic: Tell why nobody was asked

Cause: a request that is refused because all owners are known to be full left no line with its inputs. Ruled out: the owners' lines (they are not asked). Test: AnOwnerThatWouldRefuseIsNotAsked asks for wait and age.

--- a/Libraries/LibRouting/told_load.cc
+++ b/Libraries/LibRouting/told_load.cc
@@ -134,6 +134,23 @@
          SecondsOf(told.service) * told.begun_since / seen.told_slots;
 }
 
+std::optional<upstream_chooser::least_wait> upstream_chooser::LeastToldWait(
+    time_point now) const {
+  std::optional<least_wait> least;
+  for (const observations& seen : seen_) {
+    if (!IsTold(now, seen)) {
+      continue;
+    }
+    const auto wait = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(ToldWait(now, seen)));
+    if (!least || wait < least->wait) {
+      const told_wait& told = LastTold(now, seen);
+      least = least_wait{wait, told.service, now - told.at};
+    }
+  }
+  return least;
+}
+
 bool upstream_chooser::IsFull(time_point now, const observations& seen) const {
   if (wish_.longest_wait == duration::max() || !IsTold(now, seen)) {
     return false;
--- a/Libraries/LibRouting/upstream_choice.h
+++ b/Libraries/LibRouting/upstream_choice.h
@@ -88,6 +88,15 @@
   /// request wait for too long.
   bool AreAllFull() const { return are_all_full_; }
 
+  /// What was told of the upstream with the least wait, for the rank of the
+  /// last Choose(), and how long ago; none when nothing was told of late.
+  struct least_wait {
+    duration wait{};
+    duration service{};
+    duration age{};
+  };
+  std::optional<least_wait> LeastToldWait(time_point now) const;
+
   /// An attempt at upstream `vm` begins.
   void Begin(std::string_view vm);
 
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -216,8 +216,11 @@
     auto choice =
         view_.chooser.Choose(now, upstreams_, tried_, target_.limits.slow_start,
                              worker_.random, wish);
-    if (!choice && result.attempts == 0 && view_.chooser.AreAllFull()) {
-      result.cause = refusal_cause::kOverloaded;
+    if (!choice && view_.chooser.AreAllFull()) {
+      LogAllFull(now, wish, result);
+      if (result.attempts == 0) {
+        result.cause = refusal_cause::kOverloaded;
+      }
     }
     const bool is_retry = arrivals_ > 0;
     if (!choice || !is_retry) {
@@ -289,6 +292,29 @@
     co_return may_be_better;
   }
 
+  // Nobody is asked, so that no owner tells why.
+  void LogAllFull(time_point now, const placement_wish& wish,
+                  const entry_result& result) const {
+    const auto least = view_.chooser.LeastToldWait(now);
+    if (state_.log == nullptr || !least) {
+      return;
+    }
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    const auto count = [](duration time) {
+      return duration_cast<milliseconds>(time).count();
+    };
+    log_line line{"all-owners-full"};
+    line.Text("id", FieldOf(asked_.request.message, kRequestIdField))
+        .Number("attempts", result.attempts)
+        .Number("rank", static_cast<std::int64_t>(wish.rank))
+        .Number("least_wait_ms", count(least->wait))
+        .Number("service_ms", count(least->service))
+        .Number("told_age_ms", count(least->age))
+        .Number("objective_left_ms", count(wish.objective_left));
+    state_.log->Add(std::move(line));
+  }
+
   void LogAttempt(const upstream& chosen, const entry_result& result,
                   const attempt_result& ended, duration taken) const {
     if (state_.log == nullptr) {
--- a/Tests/LibRouting/test_distant_offer.cc
+++ b/Tests/LibRouting/test_distant_offer.cc
@@ -208,6 +208,13 @@
   BOOST_TEST(ask(milliseconds{95}, fresh) == "far-hall");
   BOOST_TEST(ask(milliseconds{105}, fresh) == "nobody");
   BOOST_TEST(chooser.AreAllFull());
+  // What the refusal is explained by.
+  clock.Advance(milliseconds{7});
+  const auto least = chooser.LeastToldWait(clock.Now());
+  BOOST_REQUIRE(least);
+  BOOST_TEST(SecondsOf(least->wait) > 0.1);
+  BOOST_TEST(SecondsOf(least->wait) < 0.11);
+  BOOST_TEST((least->age == milliseconds{7}));
   // Late ones may fill gaps near by, of which nobody tells.
   BOOST_TEST(ask(milliseconds{500}, milliseconds{0}) == "near-hall");
 }
