--- a/Libraries/LibLoad/admission.cc
+++ b/Libraries/LibLoad/admission.cc
@@ -17,9 +17,6 @@
 /// wait is mostly in vain, and who called for it holds a slot meanwhile.
 constexpr int kHopefulWaitDivisor = 2;
 constexpr int kVainWaitDivisor = 6;
-/// With fewer running requests their ages say nothing. Source: the median of
-/// so many is seldom far off.
-constexpr std::size_t kFewestToJudge = 5;
 /// From that share of started ones on a wait is hopeful.
 constexpr double kHopefulShare = 0.5;
 /// The weight of the newest late request in that share, as a divisor.
@@ -63,50 +60,22 @@
   return count;
 }
 
-duration admission::LearnedDuration(request_priority rank) const {
+duration admission::DurationOf(request_priority rank) const {
   const auto found = duration_of_rank_.find(rank);
   return found == duration_of_rank_.end() ? mean_duration_ : found->second;
 }
 
-// How much longer than learned the running requests seem to take. On a steady
-// upstream half of them have run for less than half of their duration.
-double admission::Slowness(time_point now) const {
-  if (running_.size() < kFewestToJudge) {
-    return 1.0;
-  }
-  std::vector<double> ages;  // As parts of the learned durations.
-  ages.reserve(running_.size());
-  for (const auto& [id, request] : running_) {
-    const duration learned = LearnedDuration(request.rank);
-    ages.push_back(learned > duration::zero()
-                       ? SecondsOf(now - request.since) / SecondsOf(learned)
-                       : 0.0);
-  }
-  const auto middle =
-      ages.begin() + static_cast<std::ptrdiff_t>(ages.size() / 2);
-  std::nth_element(ages.begin(), middle, ages.end());
-  return std::max(1.0, 2.0 * *middle - 1.0);
-}
-
-duration admission::ExpectedDuration(time_point now,
-                                     request_priority rank) const {
-  return std::chrono::duration_cast<duration>(LearnedDuration(rank) *
-                                              Slowness(now));
-}
-
-duration admission::ExpectedWait(time_point now, queue_key key) const {
+duration admission::ExpectedWait(queue_key key) const {
   if (running_.size() < Slots() && Queued() == 0) {
     return duration::zero();
   }
   duration work = mean_duration_;
   for (const auto& [other, queue] : waiting_) {
     if (other <= key) {
-      work +=
-          LearnedDuration(other.rank) * static_cast<std::int64_t>(queue.size());
+      work += DurationOf(other.rank) * static_cast<std::int64_t>(queue.size());
     }
   }
-  const auto slots = static_cast<double>(std::max<std::size_t>(1, Slots()));
-  return std::chrono::duration_cast<duration>(work * (Slowness(now) / slots));
+  return work / static_cast<std::int64_t>(std::max<std::size_t>(1, Slots()));
 }
 
 admission_reply admission::Arrive(time_point now,
@@ -125,19 +94,14 @@
   }
   // A request that would wait for too long is refused at once, while its caller
   // still has time to go elsewhere.
-  const duration service = ExpectedDuration(now, arriving.rank);
+  const duration service = DurationOf(arriving.rank);
   const queue_key key{arriving.rank, IsLate(now, arriving, service)};
-  // Late only by this owner's slowness.
-  if (key.is_late && arriving.may_go_elsewhere && arriving.objective > now) {
-    reply.refused = refusal_cause::kOverloaded;
-    return reply;
-  }
   const bool is_hopeful =
       key.is_late && started_of_late_[key.rank].share >= kHopefulShare;
   const duration longest = is_hopeful
                                ? (arriving.deadline - now) / kHopefulWaitDivisor
                                : LongestWait(now, arriving, service);
-  if (ExpectedWait(now, key) >= longest) {
+  if (ExpectedWait(key) >= longest) {
     reply.refused = arriving.objective == time_point{}
                         ? refusal_cause::kTooLate
                         : refusal_cause::kOverloaded;
@@ -245,8 +209,8 @@
   MixIn(duration_of_rank_[rank], taken);
 }
 
-owner_load admission::Load(time_point now, request_priority rank) const {
-  return {ExpectedWait(now, {rank, false}), ExpectedDuration(now, rank),
+owner_load admission::Load(request_priority rank) const {
+  return {ExpectedWait({rank, false}), DurationOf(rank),
           static_cast<std::uint32_t>(Slots()), duration::zero()};
 }
 
--- a/Libraries/LibLoad/admission.h
+++ b/Libraries/LibLoad/admission.h
@@ -23,8 +23,6 @@
   /// When its answer loses its full worth; zero when that is not told. Then it
   /// waits until its deadline.
   time_point objective{};
-  /// Another owner may be asked if this one refuses.
-  bool may_go_elsewhere = false;
 };
 
 /// What becomes of a request that arrived earlier and was queued.
@@ -71,9 +69,8 @@
 /// Answers these load patterns:
 /// - a burst above capacity: the queue stays so short that what is accepted is
 ///   on time, and the rest is refused at once, to be tried elsewhere;
-/// - an upstream that turns slow: its durations are learned, at first from how
-///   long its requests have been running, and it accepts less; who is on time
-///   elsewhere is sent there;
+/// - an upstream that turns slow: its durations are learned, and it accepts
+///   less;
 /// - requests that come back after a refusal, past their objective, while fresh
 ///   ones fill the slots: what is late for one caller must not make the next
 ///   one late, so they fill the gaps.
@@ -97,7 +94,7 @@
   /// started or refused before.
   bool Withdraw(admission_id id);
 
-  owner_load Load(time_point now, request_priority rank) const;
+  owner_load Load(request_priority rank) const;
 
   std::size_t Running() const { return running_.size(); }
   std::size_t Queued() const;
@@ -131,10 +128,8 @@
   void DropLate(time_point now, std::vector<admission_effect>& effects);
   bool StartNext(time_point now, std::vector<admission_effect>& effects);
   bool MakeRoom(queue_key key, std::vector<admission_effect>& effects);
-  duration ExpectedWait(time_point now, queue_key key) const;
-  duration LearnedDuration(request_priority rank) const;
-  duration ExpectedDuration(time_point now, request_priority rank) const;
-  double Slowness(time_point now) const;
+  duration ExpectedWait(queue_key key) const;
+  duration DurationOf(request_priority rank) const;
   void CountEnded(queue_key key, bool is_started);
   void LearnDuration(request_priority rank, duration taken);
 
--- a/Libraries/LibTraffic/backend_gate.cc
+++ b/Libraries/LibTraffic/backend_gate.cc
@@ -30,7 +30,7 @@
 
 owner_load backend_gate::Load(request_priority rank) const {
   const std::lock_guard lock{mutex_};
-  return admission_.Load(clock_.Now(), rank);
+  return admission_.Load(rank);
 }
 
 task<gate_reply> backend_gate::Enter(arriving_request arriving) {
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -254,9 +254,9 @@
     attempt_result ended;
     if (chosen.vm == state_.settings.vm) {
       ended = co_await RunAtBackendServer(
-          worker_, owner_request{asked_.request, watch_, asked_.deadline,
-                                 asked_.chosen_route.priority, asked_.objective,
-                                 result.attempts});
+          worker_,
+          owner_request{asked_.request, watch_, asked_.deadline,
+                        asked_.chosen_route.priority, asked_.objective});
       ended.load = state_.gate.Load(asked_.chosen_route.priority);
       ended.load->held = state_.clock.Now() - begin;
     } else {
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -48,7 +48,6 @@
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kWrongOwner);
     }
     priority_ = note->rank;
-    attempt_ = note->attempt;
     deadline_ = now + note->time_left;
     if (note->objective_left) {
       objective_ = now + *note->objective_left;
@@ -79,8 +78,8 @@
       watch.Start();
     }
     attempt_result result = co_await RunAtBackendServer(
-        worker_, owner_request{request, watch, deadline_, priority_, objective_,
-                               attempt_});
+        worker_,
+        owner_request{request, watch, deadline_, priority_, objective_});
     if (!result.answer) {
       // Judged as if nothing could be repeated: whether to try again is for
       // the asker to say.
@@ -137,7 +136,6 @@
   time_point begin_;
   time_point deadline_;
   time_point objective_{};
-  std::uint32_t attempt_ = 1;
   request_priority priority_ = request_priority::kInteractive;
   bool is_head_ = false;
 };
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -135,7 +135,7 @@
                                         owner_request asked) {
   traffic_state& state = worker.state;
   gate_reply entered = co_await state.gate.Enter(
-      {asked.deadline, asked.priority, asked.objective, asked.attempt == 1});
+      {asked.deadline, asked.priority, asked.objective});
   if (entered.refused == refusal_cause::kNone && HasLeft(state)) {
     entered.refused = refusal_cause::kDraining;
     entered.slot.SetNotRun();
--- a/Libraries/LibTraffic/owner.h
+++ b/Libraries/LibTraffic/owner.h
@@ -12,7 +12,6 @@
   time_point deadline;
   request_priority priority = request_priority::kInteractive;
   time_point objective{};  ///< Zero when it is not told.
-  std::uint32_t attempt = 1;
 };
 
 /// Runs a request at the backend server of this VM: waits for a slot, makes
