LibLoad: Keep the share of started late requests without a struct of its own

Cause: a newcomer's reading: a struct of one member stood there only for its first value of 1. Ruled out: the pairs that look alike elsewhere (constants and includes by their shape alone). Change: a map of shares and one accessor that gives the first value; nothing else changes.

--- a/Libraries/LibLoad/admission.cc
+++ b/Libraries/LibLoad/admission.cc
@@ -97,7 +97,7 @@
   const duration service = DurationOf(arriving.rank);
   const queue_key key{arriving.rank, IsLate(now, arriving, service)};
   const bool is_hopeful =
-      key.is_late && started_of_late_[key.rank].share >= kHopefulShare;
+      key.is_late && StartedShareOfLate(key.rank) >= kHopefulShare;
   const duration longest = is_hopeful
                                ? (arriving.deadline - now) / kHopefulWaitDivisor
                                : LongestWait(now, arriving, service);
@@ -197,9 +197,14 @@
   return false;
 }
 
+// Until one has waited there is hope.
+double& admission::StartedShareOfLate(request_priority rank) {
+  return started_share_of_late_.try_emplace(rank, 1.0).first->second;
+}
+
 void admission::CountEnded(queue_key key, bool is_started) {
   if (key.is_late) {
-    double& share = started_of_late_[key.rank].share;
+    double& share = StartedShareOfLate(key.rank);
     share += ((is_started ? 1.0 : 0.0) - share) / kStartedWeight;
   }
 }
--- a/Libraries/LibLoad/admission.h
+++ b/Libraries/LibLoad/admission.h
@@ -119,17 +119,13 @@
     request_priority rank;
   };
 
-  /// What became of the late requests of one rank that waited.
-  struct late_outcome {
-    double share = 1.0;  ///< Of those started; smoothed.
-  };
-
   std::size_t Slots() const;
   void DropLate(time_point now, std::vector<admission_effect>& effects);
   bool StartNext(time_point now, std::vector<admission_effect>& effects);
   bool MakeRoom(queue_key key, std::vector<admission_effect>& effects);
   duration ExpectedWait(queue_key key) const;
   duration DurationOf(request_priority rank) const;
+  double& StartedShareOfLate(request_priority rank);
   void CountEnded(queue_key key, bool is_started);
   void LearnDuration(request_priority rank, duration taken);
 
@@ -139,7 +135,9 @@
   std::map<queue_key, std::deque<waiting_request>> waiting_;
   duration mean_duration_{};
   std::map<request_priority, duration> duration_of_rank_;
-  std::map<request_priority, late_outcome> started_of_late_;
+  /// By rank: the share of late requests that waited and were started;
+  /// smoothed.
+  std::map<request_priority, double> started_share_of_late_;
 };
 
 }  // namespace wagtailmount
