LibCatalog: Count an own registration that is gone as leaving

Cause: some backend servers never report that they leave; their registration is removed. The node beside one then had no own entry, so OwnBackendServer() named no leaving time, and requests that waited in its queue, or that other nodes still sent, were started without end. A process started after the removal had the same gap. Ruled out: the queue's own limit, since a late request may wait for half of a deadline of 20 s.

Change: the directory keeps since when the own backend server has been leaving or without a registration; a lapse during a platform outage counts only once the entry is dropped, and a renewed registration ends it.

Measured: the four new cases failed on the sources before (5 checks) and pass now; TestLibCatalog passed whole.

--- a/Libraries/LibCatalog/upstream_directory.cc
+++ b/Libraries/LibCatalog/upstream_directory.cc
@@ -57,16 +57,33 @@
     }
   }
   entries_ = std::move(updated);
-  if (const entry* const own = OwnEntry()) {
-    last_own_slots_ = own->registered.record.slots;
-  }
+  UpdateOwnLeaving(now);
 }
 
 bool upstream_directory::Expire(time_point now) {
-  return std::erase_if(entries_, [now](const auto& item) {
-           const time_point end = item.second.dropped_at;
-           return end != time_point{} && now >= end;
-         }) > 0;
+  const bool has_expired =
+      std::erase_if(entries_, [now](const auto& item) {
+        const time_point end = item.second.dropped_at;
+        return end != time_point{} && now >= end;
+      }) > 0;
+  if (has_expired) {
+    UpdateOwnLeaving(now);
+  }
+  return has_expired;
+}
+
+void upstream_directory::UpdateOwnLeaving(time_point now) {
+  const entry* const own = OwnEntry();
+  if (own == nullptr) {
+    if (own_leaving_since_ == time_point{}) {
+      own_leaving_since_ = now;
+    }
+    return;
+  }
+  last_own_slots_ = own->registered.record.slots;
+  const auto leaving = leaving_since_.find(own->registered.record.id);
+  own_leaving_since_ =
+      leaving == leaving_since_.end() ? time_point{} : leaving->second;
 }
 
 // A backend server that was started later at the same address has replaced the
@@ -138,12 +155,7 @@
   own.fleet_size =
       std::max<std::uint32_t>(1, static_cast<std::uint32_t>(entries_.size()));
   own.limits.queue = own.limits.slots * kQueueLimitPerSlot;
-  if (const entry* const held = OwnEntry()) {
-    const auto leaving = leaving_since_.find(held->registered.record.id);
-    if (leaving != leaving_since_.end()) {
-      own.leaving_since = leaving->second;
-    }
-  }
+  own.leaving_since = own_leaving_since_;
   return own;
 }
 
--- a/Libraries/LibCatalog/upstream_directory.h
+++ b/Libraries/LibCatalog/upstream_directory.h
@@ -58,7 +58,9 @@
   std::vector<std::shared_ptr<const service_upstreams>> Upstreams() const;
 
   /// The backend server on this VM. `declared` holds the limits that its
-  /// service declares; the slots that it registered take precedence.
+  /// service declares; the slots that it registered take precedence. Without a
+  /// registration it counts as leaving: some backend servers never report that
+  /// they leave, and their registration is removed instead.
   own_backend_server OwnBackendServer(const upstream_limits& declared) const;
 
   /// The VMs with a backend server that is not leaving, without duplicates and
@@ -73,6 +75,7 @@
   };
 
   const entry* OwnEntry() const;
+  void UpdateOwnLeaving(time_point now);
   bool IsSuperseded(const entry& candidate) const;
   void RememberLeaving(time_point now,
                        std::span<const registered_upstream> registered);
@@ -83,6 +86,9 @@
   /// write of an earlier state must not make it available again.
   std::map<std::string, time_point, std::less<>> leaving_since_;
   std::uint32_t last_own_slots_ = 0;
+  /// Since when the backend server on this VM has been leaving or has had no
+  /// registration; zero while it is available.
+  time_point own_leaving_since_{};
 };
 
 }  // namespace wagtailmount
--- a/Libraries/LibRouting/routing_snapshot.h
+++ b/Libraries/LibRouting/routing_snapshot.h
@@ -33,7 +33,8 @@
   std::string service;
   upstream_limits limits;
   std::uint32_t fleet_size = 1;  ///< Number of VMs with a backend server.
-  /// When this node first learned that it is leaving; zero if it is not.
+  /// When this node first learned that it is leaving, or that its registration
+  /// is gone; zero if it is available.
   time_point leaving_since{};
 };
 
--- a/Tests/LibCatalog/test_upstream_directory.cc
+++ b/Tests/LibCatalog/test_upstream_directory.cc
@@ -120,4 +120,48 @@
   BOOST_TEST(directory.ActiveNodes()[0].vm == "10.0.0.2");
 }
 
+// Some backend servers never report that they leave: their registration is
+// removed. The node beside one must know that it is leaving all the same.
+BOOST_AUTO_TEST_CASE(AnOwnRegistrationThatIsRemovedCountsAsLeaving) {
+  Update({Registered("i-1", "10.0.0.1"), Registered("i-2", "10.0.0.2")});
+  BOOST_TEST((directory.OwnBackendServer({}).leaving_since == time_point{}));
+  clock.Advance(milliseconds{500});
+  Update({Registered("i-2", "10.0.0.2")});
+  const time_point since = clock.Now();
+  BOOST_TEST((directory.OwnBackendServer({}).leaving_since == since));
+  clock.Advance(milliseconds{500});
+  Update({Registered("i-3", "10.0.0.3")});
+  BOOST_TEST((directory.OwnBackendServer({}).leaving_since == since));
+  BOOST_TEST(directory.OwnBackendServer({}).limits.slots == 18U);
+}
+
+BOOST_AUTO_TEST_CASE(ALeavingThatWasReportedCountsFromItsReport) {
+  Update({Registered("i-1", "10.0.0.1")});
+  Update({Leaving(Registered("i-1", "10.0.0.1"))});
+  const time_point since = clock.Now();
+  clock.Advance(milliseconds{1'000});
+  Update({});
+  BOOST_TEST((directory.OwnBackendServer({}).leaving_since == since));
+}
+
+BOOST_AUTO_TEST_CASE(AnOwnRegistrationThatLapsesCountsAsLeavingOnceDropped) {
+  Update({Registered("i-1", "10.0.0.1")});
+  Update({}, milliseconds{2'500});
+  BOOST_TEST((directory.OwnBackendServer({}).leaving_since == time_point{}));
+  clock.Advance(milliseconds{2'600});
+  BOOST_TEST(directory.Expire(clock.Now()));
+  BOOST_TEST((directory.OwnBackendServer({}).leaving_since == clock.Now()));
+  Update({Registered("i-1", "10.0.0.1")});
+  BOOST_TEST((directory.OwnBackendServer({}).leaving_since == time_point{}));
+}
+
+// A process that starts after its backend server has left finds no registration
+// of it, while other nodes may still send requests.
+BOOST_AUTO_TEST_CASE(AStartedNodeWithoutAnOwnRegistrationCountsItAsLeaving) {
+  Update({Registered("i-2", "10.0.0.2")});
+  BOOST_TEST((directory.OwnBackendServer({}).leaving_since == clock.Now()));
+  Update({Registered("i-1", "10.0.0.1"), Registered("i-2", "10.0.0.2")});
+  BOOST_TEST((directory.OwnBackendServer({}).leaving_since == time_point{}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
