--- a/Libraries/LibConfig/configuration.h
+++ b/Libraries/LibConfig/configuration.h
@@ -172,6 +172,8 @@
     std::vector<std::shared_ptr<const service>> services;  ///< In name order.
     std::vector<std::shared_ptr<const route>> routes;  ///< Most specific first.
     request_limits limits;
+    /// What was accepted although its meaning is not known, with its path.
+    std::vector<std::string> warnings;
     std::shared_ptr<const detail::acceptance_record>
         record;  ///< Lets AcceptFolder() re-use parts of this version; may be
                  ///< null.
@@ -191,6 +193,7 @@
     return parts_.routes;
   }
   const request_limits& Limits() const { return parts_.limits; }
+  std::span<const std::string> Warnings() const { return parts_.warnings; }
 
   /// The service with this name, or null.
   std::shared_ptr<const service> FindService(std::string_view name) const;
--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -261,6 +261,7 @@
   }
   in_force_ = *std::move(read);
   is_snapshot_due_ = true;
+  LogWarnings();
   log_.Add(log_line{"configuration-in-force"}
                .Number("version",
                        static_cast<std::int64_t>(in_force_->Version().revision))
@@ -269,6 +270,19 @@
                        static_cast<std::int64_t>(in_force_->Routes().size())));
 }
 
+// Logs the first warnings of the configuration in force: one kind that is not
+// known may stand at each of thousands of routes.
+void catalog_control::LogWarnings() {
+  constexpr std::size_t kMaximumLines = 5;
+  const auto warnings = in_force_->Warnings();
+  for (const std::string& warning :
+       warnings.first(std::min(warnings.size(), kMaximumLines))) {
+    log_.Add(log_line{"configuration-warning"}
+                 .Text("warning", warning)
+                 .Number("of", static_cast<std::int64_t>(warnings.size())));
+  }
+}
+
 void catalog_control::ApplyUpstreams() {
   std::vector<registered_upstream> registered;
   std::map<std::string, decoded_upstream, std::less<>> decoded;
--- a/Libraries/LibNode/catalog_control.h
+++ b/Libraries/LibNode/catalog_control.h
@@ -103,6 +103,7 @@
 
   void ApplyChanges(const std::vector<std::string>& keys);
   void ApplyConfiguration();
+  void LogWarnings();
   void ApplyUpstreams();
   void PublishIfChanged();
   void UpdateFreshness(time_point now);
--- a/Tests/platform/test_formats.cc
+++ b/Tests/platform/test_formats.cc
@@ -97,6 +97,28 @@
   BOOST_TEST(!ReadUpstream(ItemOf("servers/", kUpstream)));
 }
 
+BOOST_AUTO_TEST_CASE(AKindTellsWhetherARequestMayBeRepeated) {
+  struct kind_case {
+    const char* kind;
+    idempotency repeatable;
+    std::size_t warnings;
+  };
+  const kind_case table[] = {{"safe", idempotency::kAlways, 0},
+                             {"download", idempotency::kAlways, 0},
+                             {"unsafe", idempotency::kNever, 0},
+                             {"upload", idempotency::kNever, 1}};
+  for (const kind_case& each : table) {
+    const auto read = ReadConfiguration(ItemOf(
+        "op/config", Replaced(kConfiguration, "\"safe\"",
+                              "\"" + std::string(each.kind) + "\"")));
+    BOOST_REQUIRE(read.has_value());
+    const route* const found = (*read)->FindRoute("a.example", "/a/x", "GET");
+    BOOST_REQUIRE(found != nullptr);
+    BOOST_TEST((found->repeatable == each.repeatable), each.kind);
+    BOOST_TEST((*read)->Warnings().size() == each.warnings, each.kind);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AConfigurationIsReadWhole) {
   const auto read = ReadConfiguration(ItemOf("op/config", kConfiguration));
   BOOST_REQUIRE_MESSAGE(read.has_value(), read.error().message);
