LibTraffic: Check deadline, requester and leaving last before a start

Cause: the owner checked the leaving before it opened a connection to its backend server, and deadline and requester after it. A deadline travels between nodes as the time that is left, so what a request spent on a full link, or unread in a stalled process, was added to it: on the grown CCAS deployment a lookup reached its upstream 1.2 s after its caller's deadline and 2.7 s after the upstream's leaving. Ruled out: the fixed grace period of 0.8 s, which holds where the owner knows of the leaving.

Change: CauseNotToStart() in LibLoad is asked last, with the connection in hand. Owners state their monotonic clock in each answer; an entry node learns the difference to its own from the shortest answer delay, and sends the deadline as a point on the owner's clock, so age counts and no common clock is needed. The estimate errs early.

--- a/Libraries/LibTraffic/answers.cc
+++ b/Libraries/LibTraffic/answers.cc
@@ -50,6 +50,9 @@
   if (!refusal.load.empty()) {
     SetField(message, kLoadField, refusal.load);
   }
+  if (!refusal.clock.empty()) {
+    SetField(message, kClockField, refusal.clock);
+  }
   if (refusal.has_reached_backend_server) {
     SetField(message, kArrivedField, "1");
   }
--- a/Libraries/LibTraffic/answers.h
+++ b/Libraries/LibTraffic/answers.h
@@ -23,6 +23,7 @@
   bool is_kept_alive = true;  ///< Whether the connection stays open.
   bool is_head = false;       ///< The request was HEAD: no body is sent.
   std::string_view load;  ///< Reported load of this owner; empty leaves it out.
+  std::string_view clock;  ///< Time of this owner; empty leaves it out.
   bool has_reached_backend_server = false;  ///< With part of the request.
 };
 
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -36,13 +36,19 @@
 
 void PrepareForOwner(http_request& message, const upstream& owner,
                      const entry_request& incoming, std::uint32_t attempt,
-                     time_point now) {
+                     time_point now, const peer_clock& owner_clock) {
   using std::chrono::duration_cast;
   using std::chrono::milliseconds;
+  const time_point deadline = OwnerDeadline(incoming.deadline, now);
+  if (const auto stated = owner_clock.PeerTimeAt(deadline)) {
+    SetField(message, kOwnerDeadlineField, std::to_string(stated->count()));
+  } else {
+    message.erase(ToBoost(kOwnerDeadlineField));
+  }
   hop_parameters parameters{.vm = owner.vm,
                             .service = incoming.target.name,
-                            .time_left = duration_cast<milliseconds>(
-                                OwnerDeadline(incoming.deadline, now) - now),
+                            .time_left =
+                                duration_cast<milliseconds>(deadline - now),
                             .rank = incoming.chosen_route.priority,
                             .attempt = attempt,
                             .objective_left = std::nullopt};
@@ -78,6 +84,18 @@
   result.answer.reset();
 }
 
+// Must be called before the project's fields are removed from the answer.
+void RecordOwnerClock(http_connection& connection, const attempt_result& result,
+                      time_point now) {
+  if (!result.answer) {
+    return;
+  }
+  if (const auto stated =
+          ParseNumber(FieldOf(result.answer->message, kClockField))) {
+    connection.clock.Record(now, std::chrono::milliseconds{*stated});
+  }
+}
+
 task<attempt_result> RunAtOwner(traffic_worker& worker,
                                 const entry_request& incoming,
                                 const upstream& owner, std::uint32_t attempt,
@@ -94,11 +112,12 @@
   if (connection == nullptr) {
     co_return result;
   }
-  const time_point now = clock.Now();
-  PrepareForOwner(incoming.request.message, owner, incoming, attempt, now);
+  PrepareForOwner(incoming.request.message, owner, incoming, attempt,
+                  clock.Now(), connection->clock);
   result = co_await Exchange(connection, incoming.request, incoming.deadline,
                              clock, {.id = request_id_rule::kRequired}, watch);
   if (connection != nullptr) {
+    RecordOwnerClock(*connection, result, clock.Now());
     worker.pool.Keep(owner.hop, std::move(connection), clock.Now());
   }
   ExtractVerdictAndLoad(result);
--- a/Libraries/LibTraffic/header_fields.h
+++ b/Libraries/LibTraffic/header_fields.h
@@ -20,6 +20,11 @@
 inline constexpr std::string_view kHopField = "Wagtailmount-Hop";
 /// In an owner's answers: its reported load, as FormatLoad() formats it.
 inline constexpr std::string_view kLoadField = "Wagtailmount-Load";
+/// In an owner's answers: StatedTime() of its clock.
+inline constexpr std::string_view kClockField = "Wagtailmount-Clock";
+/// In requests to an owner whose clock is known: the deadline on that clock.
+inline constexpr std::string_view kOwnerDeadlineField =
+    "Wagtailmount-Owner-Deadline";
 /// In refusals: part of the request was sent to the backend server.
 inline constexpr std::string_view kArrivedField = "Wagtailmount-Arrived";
 inline constexpr std::string_view kRequestIdField = "X-Request-Id";
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -48,9 +48,13 @@
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kWrongOwner);
     }
     priority_ = parameters->rank;
-    deadline_ = now + parameters->time_left;
+    const auto age = AgeOf(head, *parameters);
+    if (!age) {
+      co_return false;
+    }
+    deadline_ = now + parameters->time_left - *age;
     if (parameters->objective_left) {
-      objective_ = now + *parameters->objective_left;
+      objective_ = now + *parameters->objective_left - *age;
     }
     co_return co_await Run();
   }
@@ -66,6 +70,24 @@
            (is_checked_there || parameters.service == state_.settings.service);
   }
 
+  // How long ago the request was sent, by the deadline that it states on this
+  // node's clock; zero if it states none, and nothing if that is malformed.
+  std::optional<duration> AgeOf(const http_request& head,
+                                const hop_parameters& parameters) const {
+    const std::string_view stated = FieldOf(head, kOwnerDeadlineField);
+    if (stated.empty()) {
+      return duration::zero();
+    }
+    const auto deadline_ms = ParseNumber(stated);
+    if (!deadline_ms) {
+      return std::nullopt;
+    }
+    const std::chrono::milliseconds age =
+        StatedTime(begin_) + parameters.time_left -
+        std::chrono::milliseconds{*deadline_ms};
+    return std::max<duration>(age, duration::zero());
+  }
+
   task<bool> Run() {
     outgoing_request request;
     const body_status read_status =
@@ -93,6 +115,7 @@
     const bool is_kept_alive = CanKeepAlive();
     FinishAnswer(*result.answer, id_, is_head_, is_kept_alive);
     SetField(result.answer->message, kLoadField, OwnLoadText());
+    SetField(result.answer->message, kClockField, OwnClockText());
     const bool is_written = co_await WriteAnswer(client_, *result.answer);
     if (!is_written) {
       ++state_.counters.late_answers_dropped;
@@ -106,6 +129,10 @@
     return FormatLoad(load);
   }
 
+  std::string OwnClockText() const {
+    return std::to_string(StatedTime(state_.clock.Now()).count());
+  }
+
   bool CanKeepAlive() const {
     return parser_.is_done() && parser_.keep_alive() && !state_.is_leaving;
   }
@@ -123,6 +150,8 @@
     refusal.has_reached_backend_server = has_reached_backend_server;
     const std::string load = OwnLoadText();
     refusal.load = load;
+    const std::string clock = OwnClockText();
+    refusal.clock = clock;
     const bool is_written = co_await WriteRefusal(client_, refusal);
     if (is_written && !is_kept_alive) {
       co_await LingeringClose(client_);
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -3,6 +3,7 @@
 #include <string>
 
 #include "LibLoad/retry.h"
+#include "LibLoad/start_check.h"
 #include "LibTraffic/header_fields.h"
 
 namespace wagtailmount::detail {
@@ -15,12 +16,6 @@
 constexpr std::chrono::milliseconds kMaximumIdleForIdempotent{4'000};
 constexpr std::chrono::milliseconds kMaximumIdleForNonIdempotent{1'000};
 
-// How long this node still passes requests of other nodes to its backend server
-// after learning that it is leaving. The strictest limit for new work after
-// leaving is 2 s, and a node whose reader is gone learns of it up to 1.2 s
-// late, which leaves 0.8 s.
-constexpr std::chrono::milliseconds kLeavingGracePeriod{800};
-
 attempt_result MakeRefusal(refusal_cause cause) {
   attempt_result refused;
   refused.outcome = attempt_outcome::kRefusedNotRun;
@@ -38,6 +33,7 @@
                              std::string_view deadline_field,
                              time_point deadline, time_point now) {
   message.erase(ToBoost(kHopField));
+  message.erase(ToBoost(kOwnerDeadlineField));
   SetField(message, deadline_field, MillisecondsLeft(deadline, now));
 }
 
@@ -123,16 +119,21 @@
   state.log->Add(std::move(line));
 }
 
-// Whether the backend server of this VM has been leaving for so long that no
-// request may start there, even if other nodes do not know of it yet.
-bool IsLeavingGracePeriodOver(const traffic_state& state) {
+// Since when the backend server of this VM has been leaving, by the newest
+// snapshot; zero if it is not.
+time_point LeavingSince(const traffic_state& state) {
   const auto snapshot = state.snapshot.load();
-  if (snapshot == nullptr || !snapshot->Own()) {
-    return false;
-  }
-  const time_point since = snapshot->Own()->leaving_since;
-  return since != time_point{} &&
-         state.clock.Now() - since > kLeavingGracePeriod;
+  return snapshot != nullptr && snapshot->Own() ? snapshot->Own()->leaving_since
+                                                : time_point{};
+}
+
+refusal_cause CauseNotToStartNow(const traffic_state& state,
+                                 const owner_request& incoming) {
+  return CauseNotToStart(
+      state.clock.Now(),
+      {.deadline = incoming.deadline,
+       .has_requester_left = incoming.watch.HasClientDisconnected(),
+       .leaving_since = LeavingSince(state)});
 }
 
 }  // namespace
@@ -142,34 +143,29 @@
   traffic_state& state = worker.state;
   slot_result acquired = co_await state.gate.AcquireSlot(
       {incoming.deadline, incoming.priority, incoming.objective});
-  if (acquired.refused == refusal_cause::kNone &&
-      IsLeavingGracePeriodOver(state)) {
-    acquired.refused = refusal_cause::kDraining;
-    acquired.slot.SetNotRun();
+  std::unique_ptr<http_connection> connection;
+  if (acquired.refused == refusal_cause::kNone) {
+    connection = co_await ConnectionToBackendServer(worker, incoming);
+    if (connection == nullptr) {
+      acquired.slot.SetNotRun();
+      attempt_result unreachable;
+      unreachable.cause = refusal_cause::kUnreachable;
+      co_return unreachable;
+    }
+    // Opening the connection takes time, and this process may have been
+    // suspended since it read the request.
+    acquired.refused = CauseNotToStartNow(state, incoming);
   }
   if (acquired.refused != refusal_cause::kNone) {
+    acquired.slot.SetNotRun();
+    if (connection != nullptr) {
+      KeepConnection(worker, std::move(connection));
+    }
     ++state.counters.owner_refused;
     LogRefusal(state, incoming, acquired.refused);
     co_return MakeRefusal(acquired.refused);
   }
-  std::unique_ptr<http_connection> connection =
-      co_await ConnectionToBackendServer(worker, incoming);
-  if (connection == nullptr) {
-    attempt_result unreachable;
-    unreachable.cause = refusal_cause::kUnreachable;
-    co_return unreachable;
-  }
-  // This process may have been suspended since it read the request, so the
-  // deadline and the client's connection are checked again. A client that has
-  // given up may already have reported that to its own caller.
   const time_point now = state.clock.Now();
-  const bool is_late = now >= incoming.deadline;
-  if (is_late || incoming.watch.HasClientDisconnected()) {
-    KeepConnection(worker, std::move(connection));
-    ++state.counters.owner_refused;
-    co_return MakeRefusal(is_late ? refusal_cause::kTooLate
-                                  : refusal_cause::kAbandoned);
-  }
   ++state.counters.owner_admitted;
   const request_fields& fields = state.settings.fields;
   PrepareForBackendServer(incoming.request.message, fields.backend_deadline,
--- a/Tests/LibTraffic/test_drain.cc
+++ b/Tests/LibTraffic/test_drain.cc
@@ -1,5 +1,6 @@
 #include <boost/test/unit_test.hpp>
 #include <deque>
+#include <thread>
 
 #include "Tests/LibTraffic/traffic_fixture.h"
 
@@ -83,6 +84,37 @@
   BOOST_TEST(owner.backend_server->TotalRuns() == 1);
 }
 
+// A request may wait for a slot for longer than its backend server may still be
+// given work.
+BOOST_AUTO_TEST_CASE(ARequestQueuedUntilTheBackendServerHasLeftNeverStarts) {
+  fixture_options options;
+  options.limits.slots = 1;
+  options.attempts = 1;
+  options.deadline = std::chrono::milliseconds{5'000};
+  traffic_fixture fixture{1, options};
+  wagtailmount::own_backend_server backend;
+  backend.service = "ledger";
+  backend.limits = options.limits;
+  fixture.Publish({}, backend);
+  auto& owner = fixture.Owner(1);
+  test_caller slot_holder{owner.caller_address};
+  slot_holder.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Fake: slow\r\n\r\n");
+  BOOST_REQUIRE(
+      Eventually([&] { return owner.backend_server->TotalRuns() == 1; }));
+  test_caller queued{fixture.Entry().caller_address};
+  queued.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Request-Id: queued\r\n\r\n");
+  BOOST_REQUIRE(Eventually([&] { return !fixture.Entry().server->IsIdle(); }));
+  std::this_thread::sleep_for(std::chrono::milliseconds{50});
+  backend.leaving_since = fixture.Now() - std::chrono::milliseconds{900};
+  fixture.Publish({}, backend);
+  const auto refused = queued.Receive();
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(refused.Field("Wagtailmount-Verdict") == "not-run");
+  BOOST_TEST(refused.Field("Wagtailmount-Reason") == "draining");
+  BOOST_TEST(slot_holder.Receive().status == 200);
+  BOOST_TEST(owner.backend_server->RunCount("queued") == 0);
+}
+
 BOOST_AUTO_TEST_CASE(ConnectionsOpenedBeforeTheDrainAreRefusedAsDraining) {
   traffic_fixture fixture{2};
   fixture.Publish();
