LibCatalog: Order what the platform publishes by era, then revision

Cause: in a drill the platform's store returns from a copy some seconds old: revisions fall and are given out again with other contents. "The highest revision wins" then kept items that no longer exist, refused the new ones up to the old revision, and took an answer to a watch from a revision of the era before for its changes.

Change: positions are (era, revision). `platform/` decodes the header "Store-Era"; pages, changes and the messages between nodes carry the era. A newer era begins with a complete listing, from the platform or a peer, which replaces all items whatever their revisions; bases of deltas, removals and decoded entries of the era before are not used again. Answers, updates and states of an earlier era count for nothing, and a listing whose pages are of two eras is read again. Kept throughout: the configuration's version never falls in one life of a process; an upstream seen leaving stays leaving by its id; a registration that was removed and shows again without having been created again counts as leaving; one that the copy lacks is kept for the grace of 2.5 s. The log line "platform-era", the status and the metrics name the era.

Ruled out: restarting the catalog empty at an era change, which would drop routes and upstreams until the listing is in.

The three catalog messages have one field more, so nodes of the version before refuse them and read the platform themselves meanwhile; the codec test's rows have that field, and its text says 4 items for 3.

--- a/Libraries/LibCatalog/catalog.cc
+++ b/Libraries/LibCatalog/catalog.cc
@@ -113,8 +113,14 @@
 }
 
 std::vector<std::string> catalog::ApplyPartialListing(
-    std::span<const catalog_item> items) {
+    std::span<const catalog_item> items, std::uint64_t era) {
   std::vector<std::string> changed;
+  if (era != era_) {
+    if (complete_to_ > 0 || era < era_) {
+      return changed;
+    }
+    BeginEra(era);
+  }
   for (const catalog_item& item : items) {
     if (StoreItem(item)) {
       changed.push_back(item.key);
@@ -123,22 +129,52 @@
   return changed;
 }
 
+// Forgets what holds only within one era: the bases of deltas, which their
+// revisions identify, and removals, whose revisions are given out again.
+void catalog::BeginEra(std::uint64_t era) {
+  era_ = era;
+  replaced_.clear();
+  last_delta_ = {};
+  removals_forgotten_to_ = 0;
+  std::erase_if(items_,
+                [](const auto& entry) { return entry.second.is_removed; });
+}
+
+// Stores an item of a new era over one of the era before. Returns whether that
+// changed anything: the same revision may have another content.
+bool catalog::ReplaceItem(const catalog_item& item) {
+  catalog_item& held = items_[item.key];
+  const bool is_same = held.content != nullptr &&
+                       held.revision == item.revision &&
+                       held.created == item.created &&
+                       *held.content == *item.content;
+  if (!is_same) {
+    held = item;
+  }
+  return !is_same;
+}
+
 std::vector<std::string> catalog::ApplyListing(
-    std::span<const catalog_item> items, std::uint64_t complete_to) {
+    std::span<const catalog_item> items, std::uint64_t complete_to,
+    std::uint64_t era) {
   std::vector<std::string> changed;
-  if (complete_to < complete_to_) {
+  if (catalog_position{era, complete_to} < Position()) {
     return changed;
   }
+  const bool is_new_era = era != era_;
+  if (is_new_era) {
+    BeginEra(era);
+  }
   std::set<std::string_view> listed;
   for (const catalog_item& item : items) {
     listed.insert(item.key);
-    if (StoreItem(item)) {
+    if (is_new_era ? ReplaceItem(item) : StoreItem(item)) {
       changed.push_back(item.key);
     }
   }
   for (auto& [key, held] : items_) {
-    if (!held.is_removed && held.revision <= complete_to &&
-        !listed.contains(key)) {
+    const bool may_be_newer = !is_new_era && held.revision > complete_to;
+    if (!held.is_removed && !may_be_newer && !listed.contains(key)) {
       held.is_removed = true;
       held.revision = complete_to;
       held.content = nullptr;
@@ -152,7 +188,10 @@
 
 std::vector<std::string> catalog::ApplyUpdate(const catalog_update& update) {
   std::vector<std::string> changed;
-  if (update.after > complete_to_) {
+  const bool is_listing = update.after == 0;
+  const bool can_follow = update.era == era_ && update.after <= complete_to_;
+  const bool can_replace = update.era > era_ && is_listing;
+  if (!can_follow && !can_replace) {
     return changed;
   }
   std::vector<catalog_item> decoded = update.items;
@@ -161,10 +200,10 @@
       return changed;
     }
   }
-  if (update.after == 0) {
-    return ApplyListing(decoded, update.complete_to);
+  if (is_listing) {
+    return ApplyListing(decoded, update.complete_to, update.era);
   }
-  changed = ApplyPartialListing(decoded);
+  changed = ApplyPartialListing(decoded, update.era);
   complete_to_ = std::max(complete_to_, update.complete_to);
   ForgetOldRemovals();
   return changed;
@@ -176,6 +215,7 @@
   catalog_update update;
   update.after = is_complete_listing ? 0 : after;
   update.complete_to = complete_to_;
+  update.era = era_;
   for (const auto& [key, held] : items_) {
     const bool is_included =
         is_complete_listing ? !held.is_removed : held.revision > after;
--- a/Libraries/LibCatalog/catalog_source.h
+++ b/Libraries/LibCatalog/catalog_source.h
@@ -18,12 +18,15 @@
   std::uint64_t revision = 0;
   std::vector<catalog_item> items;
   bool has_more = false;
+  std::uint64_t era = 0;  ///< See catalog_position.
 };
 
 /// The changes after the requested revision, up to `revision`.
 struct catalog_changes {
   std::uint64_t revision = 0;
   std::vector<catalog_item> items;
+  std::uint64_t era = 0;  ///< If it isn't the era of the requested revision,
+                          ///< changes may be missing.
 };
 
 /// Read-only access to the entries that the platform publishes. Each call
--- a/Libraries/LibCatalog/upstream_directory.cc
+++ b/Libraries/LibCatalog/upstream_directory.cc
@@ -27,6 +27,9 @@
   std::erase_if(leaving_since_, [now](const auto& item) {
     return now - item.second > kLeavingRetention;
   });
+  std::erase_if(removed_, [now](const auto& item) {
+    return now - item.second.since > kLeavingRetention;
+  });
   for (const registered_upstream& each : registered) {
     if (each.record.is_leaving) {
       leaving_since_.emplace(each.record.id, now);
@@ -41,8 +44,7 @@
   std::map<std::string, entry, std::less<>> updated;
   for (const registered_upstream& each : registered) {
     entry fresh{each, {}};
-    fresh.registered.record.is_leaving =
-        leaving_since_.contains(each.record.id);
+    fresh.registered.record.is_leaving = IsLeaving(each);
     updated.emplace(each.record.id, std::move(fresh));
   }
   for (auto& [id, held] : entries_) {
@@ -54,6 +56,8 @@
     }
     if (now < held.dropped_at && !held.registered.record.is_leaving) {
       updated.emplace(id, std::move(held));
+    } else {
+      removed_[id] = {held.registered.created, now};
     }
   }
   entries_ = std::move(updated);
@@ -72,6 +76,16 @@
   return has_expired;
 }
 
+// A registration that was removed and shows again without having been created
+// again comes from a copy of the platform's entries; its backend server left.
+bool upstream_directory::IsLeaving(
+    const registered_upstream& registered) const {
+  const auto removed = removed_.find(registered.record.id);
+  const bool is_restored = removed != removed_.end() &&
+                           removed->second.created == registered.created;
+  return is_restored || leaving_since_.contains(registered.record.id);
+}
+
 void upstream_directory::UpdateOwnLeaving(time_point now) {
   const entry* const own = OwnEntry();
   if (own == nullptr) {
@@ -81,9 +95,15 @@
     return;
   }
   last_own_slots_ = own->registered.record.slots;
-  const auto leaving = leaving_since_.find(own->registered.record.id);
-  own_leaving_since_ =
-      leaving == leaving_since_.end() ? time_point{} : leaving->second;
+  const std::string& id = own->registered.record.id;
+  if (!own->registered.record.is_leaving) {
+    own_leaving_since_ = time_point{};
+  } else if (const auto told = leaving_since_.find(id);
+             told != leaving_since_.end()) {
+    own_leaving_since_ = told->second;
+  } else if (own_leaving_since_ == time_point{}) {
+    own_leaving_since_ = now;
+  }
 }
 
 // A backend server that was started later at the same address has replaced the
--- a/Libraries/LibCatalog/upstream_directory.h
+++ b/Libraries/LibCatalog/upstream_directory.h
@@ -77,6 +77,7 @@
   const entry* OwnEntry() const;
   void UpdateOwnLeaving(time_point now);
   bool IsSuperseded(const entry& candidate) const;
+  bool IsLeaving(const registered_upstream& registered) const;
   void RememberLeaving(time_point now,
                        std::span<const registered_upstream> registered);
 
@@ -85,6 +86,14 @@
   /// When each backend server was first seen leaving, by record id: a delayed
   /// write of an earlier state must not make it available again.
   std::map<std::string, time_point, std::less<>> leaving_since_;
+  /// A registration that was removed.
+  struct removed_registration {
+    std::uint64_t created = 0;
+    time_point since{};
+  };
+  /// The registrations removed lately, by record id: a platform that was
+  /// restored from a copy shows them again.
+  std::map<std::string, removed_registration, std::less<>> removed_;
   std::uint32_t last_own_slots_ = 0;
   /// Since when the backend server on this VM has been leaving or has had no
   /// registration; zero while it is available.
--- a/Libraries/LibLink/message.h
+++ b/Libraries/LibLink/message.h
@@ -111,11 +111,14 @@
   std::chrono::milliseconds source_age{0};
   /// VMs of the sender's failure domain whose link it knows to be fast.
   std::vector<std::string> fast_vms;
+  std::uint64_t era = 0;  ///< Of `complete_to`.
 };
 
-/// "Send me what changed after this revision."
+/// "Send me what changed after this revision." A receiver in another era sends
+/// its whole catalog if its era is newer.
 struct catalog_request_message {
   std::uint64_t after = 0;
+  std::uint64_t era = 0;  ///< Of `after`.
 };
 
 struct catalog_update_message {
--- a/Libraries/LibLink/message_decoder.cc
+++ b/Libraries/LibLink/message_decoder.cc
@@ -267,7 +267,7 @@
 }
 
 message ReadCatalogState(const json& fields, std::string& fault) {
-  constexpr std::size_t kItems = 3;
+  constexpr std::size_t kItems = 4;
   array_reader reader(fields, "catalog state", kItems, fault);
   catalog_state_message state;
   state.complete_to = reader.Number("complete to", kAnyNumber);
@@ -276,22 +276,28 @@
   if (state.fast_vms.size() > catalog_state_message::kMostFastVms) {
     reader.SetFault("fast VMs", "are too many");
   }
+  state.era = reader.Number("era", kAnyNumber);
   return state;
 }
 
 message ReadCatalogRequest(const json& fields, std::string& fault) {
-  array_reader reader(fields, "catalog request", 1, fault);
-  return catalog_request_message{reader.Number("after", kAnyNumber)};
+  constexpr std::size_t kItems = 2;
+  array_reader reader(fields, "catalog request", kItems, fault);
+  catalog_request_message request;
+  request.after = reader.Number("after", kAnyNumber);
+  request.era = reader.Number("era", kAnyNumber);
+  return request;
 }
 
 message ReadCatalogUpdate(const json& fields, std::string& fault) {
-  constexpr std::size_t kItems = 4;
+  constexpr std::size_t kItems = 5;
   array_reader reader(fields, "catalog update", kItems, fault);
   catalog_update_message sent;
   sent.update.after = reader.Number("after", kAnyNumber);
   sent.update.complete_to = reader.Number("complete to", kAnyNumber);
   sent.update.items = ReadList(reader.Any(), fault, ReadCatalogItem);
   sent.source_age = ReadAge(reader, "source age");
+  sent.update.era = reader.Number("era", kAnyNumber);
   return sent;
 }
 
--- a/Libraries/LibLink/message_encoder.cc
+++ b/Libraries/LibLink/message_encoder.cc
@@ -116,16 +116,17 @@
 
 json FieldsOf(const catalog_state_message& state) {
   return json::array(
-      {state.complete_to, ToCbor(state.source_age), state.fast_vms});
+      {state.complete_to, ToCbor(state.source_age), state.fast_vms, state.era});
 }
 
 json FieldsOf(const catalog_request_message& request) {
-  return json::array({request.after});
+  return json::array({request.after, request.era});
 }
 
 json FieldsOf(const catalog_update_message& sent) {
   return json::array({sent.update.after, sent.update.complete_to,
-                      ToCbor(sent.update.items), ToCbor(sent.source_age)});
+                      ToCbor(sent.update.items), ToCbor(sent.source_age),
+                      sent.update.era});
 }
 
 }  // namespace
--- a/Libraries/LibNode/catalog_admin.cc
+++ b/Libraries/LibNode/catalog_admin.cc
@@ -19,6 +19,7 @@
   return {{"is_serving", control.IsServing()},
           {"version", in_force == nullptr ? 0 : in_force->Version().revision},
           {"complete_to", control.CompleteTo()},
+          {"era", control.Era()},
           {"source_age_ms", age ? age->count() : -1},
           {"is_reader", control.IsReader()},
           {"peers", control.PeerCount()},
--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -140,7 +140,7 @@
 
 void catalog_control::List(feed_call call) {
   listed_items_.clear();
-  listing_revision_ = 0;
+  listing_position_ = {};
   // Keys are listed in order and those of upstreams come last, so a listing
   // that starts after their prefix holds nothing else.
   ListFrom(call == feed_call::kListUpstreams
@@ -164,8 +164,16 @@
   }
   // The pages of a listing are read at different revisions, so only changes up
   // to the first page's revision are certainly in it.
-  if (listing_revision_ == 0) {
-    listing_revision_ = page->revision;
+  if (listing_position_.revision == 0) {
+    listing_position_ = {page->era, page->revision};
+  }
+  if (page->era != listing_position_.era ||
+      page->era < catalog_.Position().era) {
+    listed_items_.clear();
+    RecordCallEnd(error{error_kind::kConflict,
+                        "the listing is not of the platform's newest era"},
+                  false);
+    return;
   }
   for (catalog_item& item : page->items) {
     listed_items_.push_back(std::move(item));
@@ -174,11 +182,14 @@
     ListFrom(listed_items_.back().key, call);
     return;
   }
+  const catalog_position before = catalog_.Position();
   const auto changed =
       call == feed_call::kListUpstreams
-          ? catalog_.ApplyPartialListing(listed_items_)
-          : catalog_.ApplyListing(listed_items_, listing_revision_);
+          ? catalog_.ApplyPartialListing(listed_items_, listing_position_.era)
+          : catalog_.ApplyListing(listed_items_, listing_position_.revision,
+                                  listing_position_.era);
   listed_items_.clear();
+  RecordPosition(before);
   RecordCallEnd(std::nullopt, !changed.empty());
   ApplyChanges(changed);
 }
@@ -187,18 +198,44 @@
   ++platform_calls_;
   source_.Watch(
       catalog_.CompleteTo(), kWatchTimeout,
-      [this, after = catalog_.CompleteTo()](result<catalog_changes> changes) {
+      [this, from = catalog_.Position()](result<catalog_changes> changes) {
         if (!changes) {
           RecordCallEnd(changes.error(), false);
           return;
         }
-        const auto changed = catalog_.ApplyUpdate(
-            {after, changes->revision, std::move(changes->items)});
+        // Another era, so the revision asked for is not one of its own.
+        if (changes->era != from.era) {
+          RecordCallEnd(error{error_kind::kConflict,
+                              "the platform's era is " +
+                                  std::to_string(changes->era) +
+                                  " and not " + std::to_string(from.era)},
+                        false);
+          return;
+        }
+        const auto changed =
+            catalog_.ApplyUpdate({from.revision, changes->revision,
+                                  std::move(changes->items), from.era});
         RecordCallEnd(std::nullopt, !changed.empty());
         ApplyChanges(changed);
       });
 }
 
+// Notes that a newer era of the platform has replaced the catalog.
+void catalog_control::RecordPosition(catalog_position before) {
+  const catalog_position now_held = catalog_.Position();
+  if (before.revision == 0 || before.era == now_held.era) {
+    return;
+  }
+  era_began_at_ = clock_.Now();
+  log_.Add(
+      log_line{"platform-era"}
+          .Number("era", static_cast<std::int64_t>(now_held.era))
+          .Number("era_before", static_cast<std::int64_t>(before.era))
+          .Number("complete_to", static_cast<std::int64_t>(now_held.revision))
+          .Number("complete_to_before",
+                  static_cast<std::int64_t>(before.revision)));
+}
+
 void catalog_control::RecordCallEnd(const std::optional<error>& failure,
                                     bool has_changes) {
   const time_point now = clock_.Now();
@@ -289,9 +326,10 @@
   for (const catalog_item* const item :
        catalog_.ItemsUnder(format_.upstream_prefix)) {
     const auto before = decoded_upstreams_.find(item->key);
-    decoded_upstream read{item->revision, std::nullopt};
+    decoded_upstream read{item->revision, item->content, std::nullopt};
     if (before != decoded_upstreams_.end() &&
-        before->second.revision == item->revision) {
+        before->second.revision == item->revision &&
+        *before->second.content == *item->content) {
       read = before->second;
     } else if (auto record = format_.read_upstream(*item)) {
       read.record = *std::move(record);
@@ -318,9 +356,14 @@
   registered_upstreams_ = std::move(registered);
   const time_point now = clock_.Now();
   // The platform expires entries of live backend servers only if it was
-  // unavailable, and then calls of this node failed.
-  const time_point keep_vanished_until =
+  // unavailable, and then calls of this node failed. A platform that was
+  // restored lacks the entries that are newer than its copy.
+  time_point keep_vanished_until =
       feed_.FailedAt() ? *feed_.FailedAt() + kVanishedEntryGrace : time_point{};
+  if (era_began_at_ != time_point{}) {
+    keep_vanished_until =
+        std::max(keep_vanished_until, era_began_at_ + kVanishedEntryGrace);
+  }
   directory_.Update(now, registered_upstreams_, keep_vanished_until);
   is_snapshot_due_ = true;
   log_.Add(log_line{"upstreams-changed"}
--- a/Libraries/LibNode/catalog_control.h
+++ b/Libraries/LibNode/catalog_control.h
@@ -14,6 +14,7 @@
 #include "LibCatalog/catalog.h"
 #include "LibCatalog/catalog_feed.h"
 #include "LibCatalog/catalog_format.h"
+#include "LibCatalog/catalog_position.h"
 #include "LibCatalog/catalog_source.h"
 #include "LibCatalog/reader_ranking.h"
 #include "LibCatalog/upstream_directory.h"
@@ -65,6 +66,8 @@
   std::optional<std::chrono::milliseconds> SourceAge() const {
     return feed_.Age(clock_.Now());
   }
+  /// The era of CompleteTo().
+  std::uint64_t Era() const { return catalog_.Position().era; }
   std::uint64_t PlatformCalls() const { return platform_calls_; }
   std::uint64_t PlatformFailures() const { return platform_failures_; }
   /// Whether this node reads the platform for its failure domain.
@@ -83,12 +86,14 @@
   /// revision changes. `record` is empty if the entry is invalid.
   struct decoded_upstream {
     std::uint64_t revision = 0;
+    /// What was decoded: a restored platform gives a revision out again.
+    std::shared_ptr<const std::string> content;
     std::optional<upstream_record> record;
   };
 
   /// What this node knows about a linked peer.
   struct peer_progress {
-    std::uint64_t complete_to = 0;  ///< Revision of its catalog; 0 if unknown.
+    catalog_position position;  ///< Of its catalog; revision 0 if unknown.
     bool is_in_own_domain = false;  ///< In this node's failure domain.
     time_point ahead_since{};  ///< Since when its catalog is newer than this
                                ///< node's; zero while it is not.
@@ -101,6 +106,7 @@
   void Watch();
   void RecordCallEnd(const std::optional<error>& failure, bool has_changes);
 
+  void RecordPosition(catalog_position before);
   void ApplyChanges(const std::vector<std::string>& keys);
   void ApplyConfiguration();
   void LogWarnings();
@@ -111,6 +117,8 @@
   void SendToPeers(time_point now);
   void RequestMissingChanges(time_point now);
   std::chrono::milliseconds SourceAgeToSend() const;
+  catalog_update UpdateFor(catalog_position known) const;
+  void RequestChanges(const std::string& peer_vm);
   void SendState(const std::string& peer_vm, bool is_in_own_domain);
   void Handle(const std::string& peer_vm, const catalog_state_message& state);
   void RequestWholeCatalog(const std::string& peer_vm);
@@ -136,11 +144,12 @@
   std::map<std::string, decoded_upstream, std::less<>> decoded_upstreams_;
   std::vector<registered_upstream> registered_upstreams_;
   std::vector<catalog_item> listed_items_;
-  std::uint64_t listing_revision_ = 0;
+  catalog_position listing_position_;
   std::uint64_t platform_calls_ = 0;
   std::uint64_t platform_failures_ = 0;
   std::map<std::string, peer_progress, std::less<>> peers_;
-  std::uint64_t announced_complete_to_ = 0;
+  catalog_position announced_position_;
+  time_point era_began_at_{};  ///< Zero before this node saw an era change.
   time_point next_state_at_{};
   time_point next_slow_state_at_{};
   time_point next_whole_request_at_{};
--- a/Libraries/LibNode/catalog_control_peers.cc
+++ b/Libraries/LibNode/catalog_control_peers.cc
@@ -100,14 +100,14 @@
 // between failure domains is expensive. The state is also sent periodically, as
 // the heartbeat of the link.
 void catalog_control::SendToPeers(time_point now) {
-  const std::uint64_t complete_to = catalog_.CompleteTo();
+  const catalog_position position = catalog_.Position();
   const bool is_state_due = now >= next_state_at_;
   const bool is_slow_due = now >= next_slow_state_at_;
-  const bool is_news = complete_to != announced_complete_to_;
+  const bool is_news = position != announced_position_;
   if (!is_news && !is_state_due) {
     return;
   }
-  announced_complete_to_ = complete_to;
+  announced_position_ = position;
   if (is_state_due) {
     next_state_at_ = now + kStatePeriod;
   }
@@ -116,28 +116,42 @@
   }
   for (const std::string& peer : links_.Peers()) {
     peer_progress& progress = peers_[peer];
-    if (progress.is_in_own_domain && progress.complete_to > 0 &&
-        progress.complete_to < complete_to) {
-      catalog_update update = catalog_.UpdateAfter(progress.complete_to);
+    if (progress.is_in_own_domain && progress.position.revision > 0 &&
+        progress.position < position) {
+      catalog_update update = UpdateFor(progress.position);
       if (!update.items.empty() &&
           update.ContentBytes() <= kMaximumUpdateBytes &&
           links_.Send(peer, catalog_update_message{std::move(update),
                                                    SourceAgeToSend()})) {
-        progress.complete_to = complete_to;
+        progress.position = position;
         continue;
       }
     }
     const bool is_relied_on = progress.is_in_own_domain && feed_.IsReader();
     const bool is_due = is_relied_on ? is_state_due : is_slow_due;
-    if (is_due || progress.complete_to < complete_to) {
+    if (is_due || progress.position < position) {
       SendState(peer, progress.is_in_own_domain);
     }
   }
 }
 
+// The changes that a node at `known` lacks; everything if it is in another era.
+catalog_update catalog_control::UpdateFor(catalog_position known) const {
+  const bool is_same_era = known.era == catalog_.Position().era;
+  return catalog_.UpdateAfter(is_same_era ? known.revision : 0);
+}
+
+void catalog_control::RequestChanges(const std::string& peer_vm) {
+  const catalog_position position = catalog_.Position();
+  links_.Send(peer_vm,
+              catalog_request_message{position.revision, position.era});
+}
+
 void catalog_control::SendState(const std::string& peer_vm,
                                 bool is_in_own_domain) {
-  catalog_state_message state{catalog_.CompleteTo(), SourceAgeToSend(), {}};
+  const catalog_position position = catalog_.Position();
+  catalog_state_message state{
+      position.revision, SourceAgeToSend(), {}, position.era};
   if (is_in_own_domain) {
     state.fast_vms = ranking_.FastVms(catalog_state_message::kMostFastVms);
   }
@@ -148,7 +162,7 @@
 // reader a moment later, so they are requested only after kPeerUpdateWait.
 void catalog_control::RequestMissingChanges(time_point now) {
   for (auto& [peer, progress] : peers_) {
-    if (progress.complete_to <= catalog_.CompleteTo()) {
+    if (progress.position <= catalog_.Position()) {
       progress.ahead_since = time_point{};
       continue;
     }
@@ -166,7 +180,7 @@
     if (progress.is_in_own_domain && !feed_.IsFailing()) {
       feed_.RequestOwnRead();
     } else {
-      links_.Send(peer, catalog_request_message{catalog_.CompleteTo()});
+      RequestChanges(peer);
     }
     return;
   }
@@ -183,7 +197,7 @@
   log_.Add(log_line{"peer-up"}.Text("peer", peer_vm));
   const bool is_in_own_domain =
       hello.sender.failure_domain == settings_.failure_domain;
-  peers_[peer_vm] = {.complete_to = 0,
+  peers_[peer_vm] = {.position = {},
                      .is_in_own_domain = is_in_own_domain,
                      .ahead_since = {}};
   SendState(peer_vm, is_in_own_domain);
@@ -211,12 +225,12 @@
 void catalog_control::Handle(const std::string& peer_vm,
                              const catalog_state_message& state) {
   peer_progress& progress = peers_[peer_vm];
-  progress.complete_to = state.complete_to;
+  progress.position = {state.era, state.complete_to};
   if (progress.is_in_own_domain &&
       ranking_.RecordFastVms(peer_vm, state.fast_vms)) {
     is_peer_choice_due_ = true;
   }
-  if (state.complete_to == catalog_.CompleteTo()) {
+  if (progress.position == catalog_.Position()) {
     feed_.RecordPeerState(clock_.Now(), state.source_age);
   } else if (catalog_.CompleteTo() == 0) {
     RequestWholeCatalog(peer_vm);
@@ -230,43 +244,49 @@
   const time_point now = clock_.Now();
   if (now >= next_whole_request_at_) {
     next_whole_request_at_ = now + kWholeCatalogInterval;
-    links_.Send(peer_vm, catalog_request_message{0});
+    links_.Send(peer_vm, catalog_request_message{});
   }
 }
 
 void catalog_control::Handle(const std::string& peer_vm,
                              const catalog_request_message& request) {
-  if (catalog_.CompleteTo() <= request.after) {
+  const catalog_position known{request.era, request.after};
+  if (catalog_.Position() <= known) {
     return;
   }
-  if (request.after == 0) {
+  catalog_update update = UpdateFor(known);
+  if (update.after == 0) {
     const time_point now = clock_.Now();
     if (now < next_whole_answer_at_ && !ranking_.IsOwnLinkFast()) {
       return;  // The peer retries, here or at another node.
     }
     next_whole_answer_at_ = now + kWholeCatalogInterval;
   }
-  if (links_.Send(peer_vm,
-                  catalog_update_message{catalog_.UpdateAfter(request.after),
-                                         SourceAgeToSend()})) {
-    peers_[peer_vm].complete_to = catalog_.CompleteTo();
+  if (links_.Send(peer_vm, catalog_update_message{std::move(update),
+                                                  SourceAgeToSend()})) {
+    peers_[peer_vm].position = catalog_.Position();
   }
 }
 
 void catalog_control::Handle(const std::string& peer_vm,
                              const catalog_update_message& sent) {
   peer_progress& progress = peers_[peer_vm];
-  progress.complete_to =
-      std::max(progress.complete_to, sent.update.complete_to);
-  if (sent.update.after > catalog_.CompleteTo()) {
-    links_.Send(peer_vm, catalog_request_message{catalog_.CompleteTo()});
+  const catalog_position sent_position = sent.update.Position();
+  progress.position = std::max(progress.position, sent_position);
+  const catalog_position before = catalog_.Position();
+  const bool has_gap = sent.update.after > 0 &&
+                       before < catalog_position{sent.update.era,
+                                                 sent.update.after};
+  if (has_gap) {
+    RequestChanges(peer_vm);
     return;
   }
   const auto changed = catalog_.ApplyUpdate(sent.update);
-  if (catalog_.CompleteTo() < sent.update.complete_to) {
+  RecordPosition(before);
+  if (catalog_.Position() < sent_position) {
     feed_.RequestOwnRead();
   }
-  if (catalog_.CompleteTo() == sent.update.complete_to) {
+  if (catalog_.Position() == sent_position) {
     feed_.RecordPeerState(clock_.Now(), sent.source_age);
   }
   ApplyChanges(changed);
--- a/Libraries/LibNode/metrics_text.cc
+++ b/Libraries/LibNode/metrics_text.cc
@@ -84,6 +84,7 @@
   AddLine(text, "version", "",
           in_force == nullptr ? 0 : number(in_force->Version().revision));
   AddLine(text, "catalog_complete_to", "", number(control.CompleteTo()));
+  AddLine(text, "catalog_era", "", number(control.Era()));
   AddLine(text, "catalog_age_ms", "", age ? age->count() : -1);
   AddLine(text, "is_reader", "", control.IsReader() ? 1 : 0);
   AddLine(text, "peers", "", number(control.PeerCount()));
--- a/Tests/LibCatalog/test_catalog.cc
+++ b/Tests/LibCatalog/test_catalog.cc
@@ -189,4 +189,81 @@
   BOOST_TEST(!DecompressText("", 1'000));
 }
 
+// The platform was restored from a copy at revision 5 and has since given out
+// revisions 6 and 7 again, with other contents.
+struct restored_platform {
+  restored_platform() {
+    held.ApplyListing(std::vector{Item("s/1", 3), Item("s/2", 6, "before"),
+                                  Item("s/3", 9)},
+                      9, 4);
+    held.ApplyUpdate({9, 10, {Removal("s/4", 10)}, 4});
+  }
+
+  std::vector<catalog_item> Listed() const {
+    return {Item("s/1", 3), Item("s/2", 6, "after"), Item("s/4", 4)};
+  }
+
+  catalog held;
+};
+
+BOOST_FIXTURE_TEST_CASE(ANewEraReplacesAllItemsWhateverTheirRevisions,
+                        restored_platform) {
+  const auto changed = held.ApplyListing(Listed(), 7, 5);
+  BOOST_TEST((changed == std::vector<std::string>{"s/2", "s/4", "s/3"}));
+  BOOST_TEST((held.Position() == catalog_position{5, 7}));
+  BOOST_TEST(*held.Find("s/2")->content == "after");
+  BOOST_TEST(held.Find("s/3") == nullptr);
+  BOOST_TEST(held.Find("s/4") != nullptr);
+  // Revisions up to 10 were held in the era before, and count again now.
+  BOOST_TEST(held.ApplyUpdate({7, 8, {Item("s/3", 8, "new")}, 5}).size() == 1U);
+  BOOST_TEST(*held.Find("s/3")->content == "new");
+}
+
+BOOST_FIXTURE_TEST_CASE(NothingOfAnEarlierEraIsTaken, restored_platform) {
+  held.ApplyListing(Listed(), 7, 5);
+  BOOST_TEST(held.ApplyListing(std::vector{Item("s/3", 9)}, 20, 4).empty());
+  BOOST_TEST(held.ApplyUpdate({0, 20, {Item("s/3", 9)}, 4}).empty());
+  BOOST_TEST(held.ApplyUpdate({7, 20, {Item("s/3", 9)}, 4}).empty());
+  BOOST_TEST(held.ApplyPartialListing(std::vector{Item("s/3", 9)}, 4).empty());
+  BOOST_TEST((held.Position() == catalog_position{5, 7}));
+  BOOST_TEST(held.Find("s/3") == nullptr);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEraBeginsWithACompleteListingOnly,
+                        restored_platform) {
+  BOOST_TEST(held.ApplyUpdate({7, 8, {Item("s/3", 8)}, 5}).empty());
+  BOOST_TEST(held.ApplyPartialListing(std::vector{Item("s/3", 8)}, 5).empty());
+  BOOST_TEST((held.Position() == catalog_position{4, 10}));
+}
+
+// Two restores in a row, and a node that missed the first.
+BOOST_FIXTURE_TEST_CASE(ANodeThatMissedAnEraTakesTheNextOneFromAPeer,
+                        restored_platform) {
+  catalog peer;
+  peer.ApplyListing(Listed(), 7, 5);
+  peer.ApplyListing(std::vector{Item("s/1", 3, std::string(9'000, 'a'))}, 3, 6);
+  held.ApplyUpdate(peer.UpdateAfter(0));
+  BOOST_TEST((held.Position() == catalog_position{6, 3}));
+  BOOST_TEST(held.Find("s/1")->content->size() == 9'000U);
+  BOOST_TEST(held.ItemsUnder("s/").size() == 1U);
+}
+
+// The base of a delta is named by its revision, which the new era gives out
+// again.
+BOOST_FIXTURE_TEST_CASE(NoDeltaHasABaseOfAnEarlierEra, restored_platform) {
+  const auto routes = [](char letter) {
+    return Item("op", 6, std::string(9'000, letter));
+  };
+  catalog first;
+  first.ApplyListing(std::vector{routes('a')}, 6, 4);
+  first.ApplyUpdate({6, 7, {Item("op", 7, std::string(9'000, 'b'))}, 4});
+  first.ApplyListing(std::vector{routes('c')}, 6, 5);
+  first.ApplyUpdate({6, 7, {Item("op", 7, std::string(9'000, 'd'))}, 5});
+  catalog second;
+  second.ApplyListing(std::vector{routes('c')}, 6, 5);
+  second.ApplyUpdate(first.UpdateAfter(6));
+  BOOST_TEST((second.Position() == catalog_position{5, 7}));
+  BOOST_TEST(*second.Find("op")->content == std::string(9'000, 'd'));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibCatalog/test_upstream_directory.cc
+++ b/Tests/LibCatalog/test_upstream_directory.cc
@@ -164,4 +164,39 @@
   BOOST_TEST((directory.OwnBackendServer({}).leaving_since == time_point{}));
 }
 
+// A platform that was restored from a copy shows registrations again whose
+// backend servers have left.
+BOOST_AUTO_TEST_CASE(ARemovedRegistrationThatIsRestoredIsNotUsedAgain) {
+  const auto left = Registered("i-1", "10.0.0.2", 5);
+  const auto own = Registered("i-2", "10.0.0.1", 6);
+  Update({left, own});
+  Update({});
+  const time_point since = clock.Now();
+  clock.Advance(milliseconds{900});
+  Update({left, own});
+  BOOST_REQUIRE(Ledger().size() == 2U);
+  BOOST_TEST(Ledger()[0].is_leaving);
+  BOOST_TEST(Ledger()[1].is_leaving);
+  BOOST_TEST((directory.OwnBackendServer({}).leaving_since == since));
+  // One that was created again belongs to a backend server that runs.
+  Update({left, Registered("i-2", "10.0.0.1", 9)});
+  BOOST_TEST(Ledger()[0].is_leaving);
+  BOOST_TEST(!Ledger()[1].is_leaving);
+  BOOST_TEST((directory.OwnBackendServer({}).leaving_since == time_point{}));
+}
+
+// The copy is older than the report, and its backend server may not write again
+// before it ends.
+BOOST_AUTO_TEST_CASE(AnUpstreamSeenLeavingStaysLeavingInARestoredState) {
+  Update({Registered("i-1", "10.0.0.2", 5)});
+  Update({Leaving(Registered("i-1", "10.0.0.2", 5))});
+  Update({Registered("i-1", "10.0.0.2", 5)});
+  BOOST_TEST(Ledger()[0].is_leaving);
+  // Absent from the copy, then written again as it was.
+  Update({}, milliseconds{2'500});
+  BOOST_TEST(Ledger().empty());
+  Update({Registered("i-1", "10.0.0.2", 8)});
+  BOOST_TEST(Ledger()[0].is_leaving);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibLink/test_message_codec.cc
+++ b/Tests/LibLink/test_message_codec.cc
@@ -54,14 +54,16 @@
       compare_message{version, 9, ~std::uint64_t{0},
                       std::chrono::milliseconds{20}},
       membership_request_message{{42, 43}},
-      catalog_state_message{41, std::chrono::milliseconds{30}, {"10.0.0.1"}},
-      catalog_request_message{40},
+      catalog_state_message{
+          41, std::chrono::milliseconds{30}, {"10.0.0.1"}, 3},
+      catalog_request_message{40, 3},
       catalog_update_message{
           {40,
            42,
            {{"a/1", 41, 7, false,
              std::make_shared<const std::string>(all_bytes), 39},
-            {"a/2", 42, 8, true, nullptr, 0}}},
+            {"a/2", 42, 8, true, nullptr, 0}},
+           3},
           std::chrono::milliseconds{5}},
   };
 }
@@ -138,15 +140,15 @@
       {"refusal without a reason", FrameOf({6, {version, json::array()}}),
        "reasons are empty"},
       {"catalog state of another length", FrameOf({10, {1}}),
-       "catalog state has 1 items instead of 3"},
+       "catalog state has 1 items instead of 4"},
       {"too many fast VMs",
-       FrameOf({10, {1, 2, json(std::vector<std::string>(5, "a"))}}),
+       FrameOf({10, {1, 2, json(std::vector<std::string>(5, "a")), 0}}),
        "fast VMs are too many"},
       {"nameless catalog item",
-       FrameOf({12, {1, 2, json::array({{"", 1, 1, 0, 0, BinaryOf(1)}}), 0}}),
+       FrameOf({12, {1, 2, json::array({{"", 1, 1, 0, 0, BinaryOf(1)}}), 0, 0}}),
        "key is empty"},
       {"catalog content as text",
-       FrameOf({12, {1, 2, json::array({{"a", 1, 1, 0, 0, "text"}}), 0}}),
+       FrameOf({12, {1, 2, json::array({{"a", 1, 1, 0, 0, "text"}}), 0, 0}}),
        "content is not a byte string"},
   };
 }
--- a/Tests/platform/test_store_client.cc
+++ b/Tests/platform/test_store_client.cc
@@ -67,11 +67,12 @@
 }
 
 // A whole answer without items: its head, then the body in `count` pieces.
-std::vector<std::string> PiecesOfAnswer(std::size_t count) {
+std::vector<std::string> PiecesOfAnswer(std::size_t count,
+                                        const std::string& fields = {}) {
   const std::string body = R"({"items":[],"has-more":false,"at-rev":7})";
   std::vector<std::string> pieces{
-      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
-      std::to_string(body.size()) + "\r\n\r\n"};
+      "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n" + fields +
+      "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n"};
   const std::size_t size = (body.size() + count - 1) / count;
   for (std::size_t begin = 0; begin < body.size(); begin += size) {
     pieces.push_back(body.substr(begin, size));
@@ -101,4 +102,17 @@
   BOOST_TEST((std::chrono::steady_clock::now() - begin < milliseconds{2'500}));
 }
 
+BOOST_AUTO_TEST_CASE(TheEraOfAnAnswerIsRead) {
+  dribbling_store without{PiecesOfAnswer(1), milliseconds{0}};
+  BOOST_TEST(ListFrom(without)->era == 0U);
+  dribbling_store with{PiecesOfAnswer(1, "Store-Era: 12\r\n"),
+                       milliseconds{0}};
+  BOOST_TEST(ListFrom(with)->era == 12U);
+  dribbling_store malformed{PiecesOfAnswer(1, "Store-Era: 1x\r\n"),
+                            milliseconds{0}};
+  const auto refused = ListFrom(malformed);
+  BOOST_REQUIRE(!refused.has_value());
+  BOOST_TEST((refused.error().kind == error_kind::kInvalidInput));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
