LibCatalog: Keep vanished entries only around an outage of the platform

Cause: an entry that vanished within 2.5 s of any failed platform call of a node was kept in use for those 2.5 s. Some backend servers leave without a report: their entry is removed.

Change: the platform counts as unavailable only while calls fail and the newest state has not been held, from the platform or a peer, for 1.4 s; vanished entries are kept until 2.5 s after that. Ruled out: keeping none, since entries lapse in outages although their backend servers run.

Measured: AFailedCallAloneIsNoOutage holds a follower with 30 failed calls and fresh peers; it would have counted as an outage before. The two feed cases and TestLibCatalog pass. The old case's check that a failure is noted asks IsFailing() now, as FailedAt() is gone.

--- a/Libraries/LibCatalog/catalog_feed.cc
+++ b/Libraries/LibCatalog/catalog_feed.cc
@@ -86,7 +86,6 @@
 
 void catalog_feed::ScheduleRetry(time_point now) {
   ++consecutive_failures_;
-  failed_at_ = now;
   const milliseconds longest = is_reader_ ? settings_.longest_backoff
                                           : settings_.longest_follower_backoff;
   const std::uint32_t doublings = std::min(consecutive_failures_ - 1, 5U);
@@ -100,6 +99,13 @@
       random_.Below(static_cast<std::uint64_t>(limit.count()) + 1)};
 }
 
+void catalog_feed::UpdateOutage(time_point now) {
+  const auto age = Age(now);
+  if (IsFailing() && (!age || *age > settings_.outage_after)) {
+    last_outage_at_ = now;
+  }
+}
+
 void catalog_feed::RecordPeerState(time_point now, milliseconds age) {
   const time_point then = now - age;
   peer_fresh_at_ = peer_fresh_at_ ? std::max(*peer_fresh_at_, then) : then;
--- a/Libraries/LibCatalog/catalog_feed.h
+++ b/Libraries/LibCatalog/catalog_feed.h
@@ -54,6 +54,10 @@
     /// reader's listing for this long and up to half as long again, at random.
     /// A listing over a link of 5 Mbit/s takes 0.7 s.
     std::chrono::milliseconds listing_grace{800};
+    /// While calls of this node fail and it has not held the newest state for
+    /// longer than this, the platform counts as unavailable. Above the age that
+    /// states have in normal operation: `stale_after` and the time for a read.
+    std::chrono::milliseconds outage_after{1'400};
     std::chrono::milliseconds first_backoff{150};
     std::chrono::milliseconds longest_backoff{600};
     /// For followers: several times as long as a reader's changes need to reach
@@ -93,8 +97,13 @@
 
   bool IsInFlight() const { return in_flight_ != feed_call::kNone; }
   bool IsFailing() const { return consecutive_failures_ > 0; }
-  /// The time of the last failed call of this node.
-  std::optional<time_point> FailedAt() const { return failed_at_; }
+
+  /// Notes whether the platform is unavailable at `now`. A failed call alone
+  /// does not show it: the platform may refuse one VM, or the VM may be slow,
+  /// while peers hold the newest state.
+  void UpdateOutage(time_point now);
+  /// When the platform was last noted as unavailable.
+  std::optional<time_point> LastOutageAt() const { return last_outage_at_; }
 
  private:
   bool HasRecentPeerState(time_point now) const;
@@ -117,7 +126,7 @@
   std::optional<time_point> fresh_at_;
   /// The same according to its peers' messages.
   std::optional<time_point> peer_fresh_at_;
-  std::optional<time_point> failed_at_;
+  std::optional<time_point> last_outage_at_;
 };
 
 }  // namespace wagtailmount
--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -16,7 +16,8 @@
 /// A catalog counts as fresh if it was confirmed by the platform at most this
 /// long ago: catalog_feed::settings::stale_after and the time for a read.
 constexpr milliseconds kMaximumFreshAge{1'400};
-/// How long after a failed platform call an entry that vanished is still used.
+/// How long after an outage of the platform an entry that vanished is still
+/// used.
 /// The platform may have dropped entries of live backend servers, which
 /// register again within 2 s according to the platform; the rest is a margin.
 constexpr milliseconds kVanishedEntryGrace{2'500};
@@ -92,6 +93,7 @@
     ChoosePeers();
   }
   links_.Tick();
+  feed_.UpdateOutage(now);
   CallPlatform(now);
   UpdateFreshness(now);
   if (directory_.Expire(now)) {
@@ -356,10 +358,11 @@
   registered_upstreams_ = std::move(registered);
   const time_point now = clock_.Now();
   // The platform expires entries of live backend servers only if it was
-  // unavailable, and then calls of this node failed. A platform that was
-  // restored lacks the entries that are newer than its copy.
+  // unavailable. A platform that was restored lacks the entries that are newer
+  // than its copy.
   time_point keep_vanished_until =
-      feed_.FailedAt() ? *feed_.FailedAt() + kVanishedEntryGrace : time_point{};
+      feed_.LastOutageAt() ? *feed_.LastOutageAt() + kVanishedEntryGrace
+                           : time_point{};
   if (era_began_at_ != time_point{}) {
     keep_vanished_until =
         std::max(keep_vanished_until, era_began_at_ + kVanishedEntryGrace);
--- a/Tests/LibCatalog/test_catalog_feed.cc
+++ b/Tests/LibCatalog/test_catalog_feed.cc
@@ -135,7 +135,39 @@
   // A reader makes about 35 calls at most in an outage of 10 s.
   BOOST_TEST(calls > 15);
   BOOST_TEST(calls < 40);
-  BOOST_TEST(feed.FailedAt().has_value());
+  BOOST_TEST(feed.IsFailing());
+}
+
+// Entries that vanish are kept only around an outage. One failed call, of a VM
+// that is slow or that the platform refuses for a moment, is none: an upstream
+// whose entry is removed just then must not stay in use.
+BOOST_AUTO_TEST_CASE(AFailedCallAloneIsNoOutage) {
+  BecomeFollowerWithRecentPeer();
+  for (int step = 0; step < 30; ++step) {
+    Call(feed_call::kWatch, error_kind::kTimeout);
+    clock.Advance(milliseconds{95});
+    feed.UpdateOutage(clock.Now());
+    feed.RecordPeerState(clock.Now(), milliseconds{300});
+  }
+  BOOST_TEST(!feed.LastOutageAt().has_value());
+}
+
+BOOST_AUTO_TEST_CASE(AnOutageLastsUntilTheNewestStateIsHeldAgain) {
+  feed.SetReader(true);
+  Call(feed_call::kListStale);
+  Call(feed_call::kWatch);
+  for (int step = 0; step < 25; ++step) {
+    Call(feed_call::kWatch, error_kind::kUnavailable);
+    clock.Advance(milliseconds{95});
+    feed.UpdateOutage(clock.Now());
+  }
+  const time_point last = clock.Now();
+  BOOST_REQUIRE(feed.LastOutageAt().has_value());
+  BOOST_TEST((*feed.LastOutageAt() == last));
+  Call(feed_call::kWatch);
+  clock.Advance(milliseconds{95});
+  feed.UpdateOutage(clock.Now());
+  BOOST_TEST((*feed.LastOutageAt() == last));
 }
 
 BOOST_AUTO_TEST_CASE(AWatchInFlightProvesFreshnessOnlyUntilItIsOverdue) {
