Tests/Process: Play a store that goes back, under load and twice in a row

The stand-in store states its era, keeps copies, and answers 410 to a watch from a revision it doesn't have. Real nodes under load: the newest configuration stays in force, a backend server seen leaving gets nothing more, changes of the new era are in force on all nodes, also on one that starts between two drills.

--- a/Tests/Process/catalog_stand_ins.py
+++ b/Tests/Process/catalog_stand_ins.py
@@ -56,6 +56,8 @@
         self._changed = threading.Condition()
         self._revision = 1
         self._items = {}  # By key: the last event.
+        self._copies = []  # Of each state: when it was reached, its revision, its items.
+        self.era = 1
         self.is_down = False
         self.calls = 0
         self.whole_listings = 0
@@ -71,12 +73,17 @@
                 elif path == "/kv-range":
                     self.reply(store.page(urllib.parse.unquote(asked.get("after", ""))))
                 elif path == "/kv-watch":
-                    self.reply(store.watch(int(asked["after"]), int(asked["wait-ms"]) / 1000))
+                    changes = store.watch(int(asked["after"]), int(asked["wait-ms"]) / 1000)
+                    if changes is None:
+                        self.answer(410, headers=[("Store-Era", str(store.era))])
+                    else:
+                        self.reply(changes)
                 else:
                     self.answer(404)
 
             def reply(self, document):
-                self.answer(200, json.dumps(document).encode(), [("Content-Type", "application/json")])
+                self.answer(200, json.dumps(document).encode(),
+                            [("Content-Type", "application/json"), ("Store-Era", str(store.era))])
 
         self._server = Server(address, Handler)
 
@@ -84,14 +91,29 @@
         value = base64.b64encode(json.dumps(document).encode()).decode()
         with self._changed:
             self._revision += 1
-            created = self._items.get(key, {}).get("created") or self._revision
+            created = self._items.get(key, {}).get("created") or self._revision  # Removals have none.
             self._items[key] = {"key": key, "value": value, "revision": self._revision, "created": created}
-            self._changed.notify_all()
+            self._keep_copy()
 
     def remove(self, key):
         with self._changed:
             self._revision += 1
             self._items[key] = {"key": key, "revision": self._revision, "removed": True}
+            self._keep_copy()
+
+    def _keep_copy(self):
+        self._copies.append((time.monotonic(), self._revision, dict(self._items)))
+        self._changed.notify_all()
+
+    def go_back(self, to, away):
+        """A drill: away for a moment, then back from the copy of the time `to`, in a new era."""
+        self.is_down = True
+        time.sleep(away)
+        with self._changed:
+            _, self._revision, items = [copy for copy in self._copies if copy[0] <= to][-1]
+            self._items = dict(items)
+            self.era += 1
+            self.is_down = False
             self._changed.notify_all()
 
     def page(self, after):
@@ -102,10 +124,16 @@
             return {"items": items, "has-more": False, "at-rev": self._revision}
 
     def watch(self, after, wait):
+        """What changed after a revision; None if that is not one of this era."""
         end = time.monotonic() + wait
         with self._changed:
-            while self._revision <= after and time.monotonic() < end and not self.is_down:
+            era = self.era
+            if after > self._revision:
+                return None
+            while self.era == era and self._revision <= after and time.monotonic() < end and not self.is_down:
                 self._changed.wait(max(0.0, min(0.1, end - time.monotonic())))
+            if self.era != era:
+                return None
             events = [item for item in self._items.values() if item["revision"] > after]
             return {"events": sorted(events, key=lambda item: item["revision"]), "at-rev": self._revision}
 
--- a/Tests/Process/test_catalog.py
+++ b/Tests/Process/test_catalog.py
@@ -211,6 +211,64 @@
         self.store.is_down = False
         self.wait_ready(["127.0.0.2"])
 
+    def change_everything(self, version):
+        """A route is added, a backend server leaves, another one registers."""
+        self.store.write("op/config", configuration(version, ROUTES + [("/added/", "safe", "ledger")]))
+        leaving = self.backends["127.0.0.2"]
+        self.store.write("servers/" + leaving.identity, leaving.entry("hall-a", "draining"))
+        self.add("hall-b", "127.0.0.6", "ledger")
+        wait_until("the added route is served by all nodes",
+                   lambda: all(self.call(vm, "/added/1")[0] == 200 for vm in SERVICES), 3)
+        wait_until("the added backend server is used", lambda: self.uses("127.0.0.6"), 4)
+
+    def uses(self, backend_vm):
+        for vm in SERVICES:
+            self.call(vm, "/balance/1")
+        return bool(self.backends[backend_vm].ran)
+
+    def check_nothing_is_taken_back(self, seconds):
+        """Under load on all nodes; returns when the leaving backend server ran its last request."""
+        end = time.monotonic() + seconds
+        while time.monotonic() < end:
+            for vm in SERVICES:
+                self.assertEqual(self.call(vm, "/added/1")[0], 200)
+                self.assertEqual(self.call(vm, "/balance/1")[0], 200)
+                self.assertEqual(self.call(vm, "/posting/1", "POST", "cash")[0], 200)
+        return max((when for _, _, when in self.backends["127.0.0.2"].ran), default=0.0)
+
+    def test_a_store_that_goes_back_under_load_takes_nothing_back(self):
+        before = time.monotonic()
+        time.sleep(0.2)
+        self.change_everything(9)
+        time.sleep(2.0)  # The leaving backend server gets nothing any more.
+        since = time.monotonic()
+        self.store.go_back(before, away=0.5)
+        # The backend servers and the operator write again; revisions are given out a second time.
+        self.store.write("servers/i-6", self.backends["127.0.0.6"].entry("hall-b"))
+        last = self.check_nothing_is_taken_back(2.0)
+        self.assertLess(last, since)
+        changed = ROUTES + [("/added/", "safe", "ledger"), ("/again/", "safe", "casefile")]
+        self.store.write("op/config", configuration(10, changed))
+        wait_until("a change of the new era is in force everywhere",
+                   lambda: all(self.call(vm, "/again/1")[0] == 200 for vm in SERVICES), 2)
+        # A second drill at once, to before the change; then a start that hears of both.
+        self.store.go_back(time.monotonic() - 1.0, away=0.2)
+        self.nodes["127.0.0.5"].kill()
+        self.nodes["127.0.0.5"].wait()
+        self.store.write("op/config", configuration(12, changed))
+        self.start("127.0.0.5")
+        self.wait_ready(["127.0.0.5"])
+        wait_until("all nodes are in the newest era", lambda: all(
+            self.status(vm)["era"] == self.store.era for vm in SERVICES), 4)
+        self.assertLess(self.check_nothing_is_taken_back(1.0), since)
+        eras = [line for line in self.log_of("127.0.0.3") if line["event"] == "platform-era"]
+        self.assertEqual([line["era"] for line in eras], [2, 3])
+
+    def status(self, vm):
+        connection = http.client.HTTPConnection(vm, int(self.ports["admin"]), timeout=1)
+        connection.request("GET", "/v1/status")
+        return json.loads(connection.getresponse().read())
+
     def test_a_reload_signal_is_survived_and_told(self):
         self.nodes["127.0.0.2"].send_signal(signal.SIGHUP)
         wait_until("the reload is told", lambda: any(
