LibRouting: Keep requests away from upstreams that can't be reached

Cause: when all upstreams in use were full, placement went on to the ejected ones, and among those in use one that could not be reached looked best: it reports no wait, so it is never full. At most half of the upstreams could be ejected, so a node that was cut off tried the others for each request.

An unreachable upstream is ejected at once whatever the number, for 0.5 s doubling up to 4 s, and then gets one attempt at a time until it answers. The time of a failed connection no longer counts as latency, which kept a returned VM without work for seconds. After an exchange without an answer, connections to that node that have been idle since before it are closed: a cut leaves them open and silent, and each took a request to its deadline.

Ruled out: fewer owners tried for a request, which would also cut the quick refusals that find a free slot.

--- a/Libraries/LibRouting/upstream_choice.cc
+++ b/Libraries/LibRouting/upstream_choice.cc
@@ -16,6 +16,10 @@
 constexpr seconds kFirstEjection{1};
 constexpr seconds kLongestEjection{30};
 constexpr std::uint32_t kMaxEjectionDoublings = 5;
+// An unreachable upstream is tried again sooner: VMs are back after a second or
+// two, and finding out takes one request a connection timeout.
+constexpr milliseconds kFirstUnreachableEjection{500};
+constexpr seconds kLongestUnreachableEjection{4};
 // At most one in this many upstreams is ejected, however many fail.
 constexpr std::size_t kEjectionFloorDivisor = 2;
 // Weight of the newest sample in the smoothed latency, as a divisor.
@@ -84,11 +88,11 @@
       continue;
     }
     auto choice = ChooseAmongCandidates(now, upstreams, slow_start, random);
+    // Ejected upstreams are no place for what full ones can't take.
     if (!choice) {
       are_all_full_ = true;
-      continue;
+      return std::nullopt;
     }
-    are_all_full_ = false;
     if (wanted == availability::kEjected) {
       choice->why = choice_reason::kEjected;
     } else if (wanted == availability::kSuspect) {
@@ -113,6 +117,14 @@
     return;
   }
   seen->outstanding -= std::min(seen->outstanding, 1U);
+  const bool has_answered = signal == attempt_signal::kGood ||
+                            signal == attempt_signal::kOwnerRefused ||
+                            signal == attempt_signal::kShed;
+  if (has_answered && seen->is_unreachable) {
+    seen->is_unreachable = false;
+    seen->ejections_in_row = 0;
+    seen->ejected_until = now;
+  }
   if (signal != attempt_signal::kOwnerRefused &&
       signal != attempt_signal::kInconclusive) {
     const double failed = signal == attempt_signal::kGood ? 0.0 : 1.0;
@@ -129,6 +141,11 @@
   if (signal == attempt_signal::kInconclusive) {
     return;
   }
+  // How long it took to find no connection says nothing about the latency.
+  if (signal == attempt_signal::kUnreachable) {
+    RecordFailure(now, *seen, signal);
+    return;
+  }
   const bool is_first = seen->latency == duration::zero();
   const duration before = DecayedLatency(now, *seen);
   seen->latency = is_first ? taken : before + (taken - before) / kLatencyWeight;
@@ -138,16 +155,27 @@
     seen->ejections_in_row = 0;
     return;
   }
-  ++seen->failures_in_row;
-  // A single failure ejects an upstream that has just returned from an ejection
-  // or that can't be connected to at all.
-  const bool is_ejected_at_once =
-      seen->ejections_in_row > 0 || signal == attempt_signal::kUnreachable;
-  const bool is_in_use = seen->ejected_until <= now;
+  RecordFailure(now, *seen, signal);
+}
+
+void upstream_chooser::RecordFailure(time_point now, observations& seen,
+                                     attempt_signal signal) {
+  ++seen.failures_in_row;
+  const bool is_in_use = seen.ejected_until <= now;
+  if (signal == attempt_signal::kUnreachable) {
+    seen.is_unreachable = true;
+    if (is_in_use) {
+      Eject(now, seen);
+    }
+    return;
+  }
+  // A single failure ejects an upstream that has just returned from an
+  // ejection.
+  const bool is_ejected_at_once = seen.ejections_in_row > 0;
   if (is_in_use &&
-      (seen->failures_in_row >= kFailuresToEject || is_ejected_at_once) &&
+      (seen.failures_in_row >= kFailuresToEject || is_ejected_at_once) &&
       MayEject(now)) {
-    Eject(now, *seen);
+    Eject(now, seen);
   }
 }
 
@@ -206,6 +234,18 @@
   return const_cast<observations*>(std::as_const(*this).Find(vm));
 }
 
+upstream_chooser::availability upstream_chooser::AvailabilityOf(
+    time_point now, const upstream& candidate, const observations& seen) {
+  const bool is_ejected = seen.ejected_until > now;
+  if (seen.is_unreachable && (is_ejected || seen.outstanding > 0)) {
+    return availability::kUnusable;
+  }
+  if (candidate.is_suspect) {
+    return availability::kSuspect;
+  }
+  return is_ejected ? availability::kEjected : availability::kGood;
+}
+
 void upstream_chooser::CollectCandidates(
     time_point now, availability wanted, std::span<const upstream> upstreams,
     std::span<const upstream* const> tried) {
@@ -214,10 +254,7 @@
     const upstream& candidate = upstreams[index];
     const bool is_tried =
         std::find(tried.begin(), tried.end(), &candidate) != tried.end();
-    const bool is_ejected = seen_[index].ejected_until > now;
-    const availability current = candidate.is_suspect ? availability::kSuspect
-                                 : is_ejected         ? availability::kEjected
-                                                      : availability::kGood;
+    const availability current = AvailabilityOf(now, candidate, seen_[index]);
     if (!candidate.is_leaving && !is_tried && current == wanted) {
       candidates_.push_back(index);
     }
@@ -385,8 +422,14 @@
 void upstream_chooser::Eject(time_point now, observations& seen) {
   const std::uint32_t doublings =
       std::min(seen.ejections_in_row, kMaxEjectionDoublings);
-  const duration time = std::min<duration>(
-      kFirstEjection * (std::int64_t{1} << doublings), kLongestEjection);
+  const duration first =
+      seen.is_unreachable ? duration{kFirstUnreachableEjection}
+                          : duration{kFirstEjection};
+  const duration longest = seen.is_unreachable
+                               ? duration{kLongestUnreachableEjection}
+                               : duration{kLongestEjection};
+  const duration time =
+      std::min(first * (std::int64_t{1} << doublings), longest);
   ++seen.ejections_in_row;
   seen.failures_in_row = 0;
   seen.ejected_until = now + time;
--- a/Libraries/LibRouting/upstream_choice.h
+++ b/Libraries/LibRouting/upstream_choice.h
@@ -81,8 +81,16 @@
   explicit upstream_chooser(locality own) : own_locality_(std::move(own)) {}
 
   /// Returns the upstream for the next attempt, or none if all are leaving,
-  /// were tried already or are expected to refuse. A new upstream reaches its
-  /// full share of requests after `slow_start`.
+  /// were tried already, could not be connected to a moment ago or are expected
+  /// to refuse. A new upstream reaches its full share of requests after
+  /// `slow_start`.
+  ///
+  /// Handles these load patterns:
+  /// - many unreachable upstreams under a load that fills the others: an
+  ///   unreachable one reports no wait, but must not look like the one with
+  ///   room;
+  /// - a node that is cut off: its requests don't wait for connections one
+  ///   after the other.
   std::optional<upstream_choice> Choose(
       time_point now, std::span<const upstream> upstreams,
       std::span<const upstream* const> tried, duration slow_start,
@@ -152,6 +160,9 @@
     std::uint32_t failures_in_row = 0;
     std::uint32_t ejections_in_row = 0;
     time_point ejected_until{};
+    /// The last attempt found no connection. Until one succeeds, the upstream
+    /// gets a single attempt at a time, to find out whether it is back.
+    bool is_unreachable = false;
     load_reports reports;
     std::uint32_t reported_slots = 1;
     duration overhead{};         ///< Smoothed: network time and slow owners.
@@ -160,8 +171,15 @@
     std::size_t domain_index = 0;  ///< Of its failure domain.
   };
 
-  enum class availability : std::uint8_t { kGood, kEjected, kSuspect };
+  enum class availability : std::uint8_t {
+    kGood,
+    kEjected,
+    kSuspect,
+    kUnusable,  ///< Never a candidate.
+  };
 
+  static availability AvailabilityOf(time_point now, const upstream& candidate,
+                                     const observations& seen);
   void AlignObservations(time_point now, std::span<const upstream> upstreams);
   observations* Find(std::string_view vm);
   const observations* Find(std::string_view vm) const;
@@ -202,6 +220,7 @@
   duration MedianLatency();
   bool MayEject(time_point now) const;
   void Eject(time_point now, observations& seen);
+  void RecordFailure(time_point now, observations& seen, attempt_signal signal);
 
   locality own_locality_;
   std::vector<observations> seen_;  ///< In the order of the upstreams.
--- a/Libraries/LibTraffic/connection_pool.cc
+++ b/Libraries/LibTraffic/connection_pool.cc
@@ -50,6 +50,16 @@
   idle_[target].push_back(std::move(connection));
 }
 
+void connection_pool::CloseIdleSince(const endpoint& target,
+                                     time_point since) {
+  const auto found = idle_.find(target);
+  if (found != idle_.end()) {
+    std::erase_if(found->second, [since](const auto& connection) {
+      return connection->idle_since <= since;
+    });
+  }
+}
+
 task<std::unique_ptr<http_connection>> Connect(const endpoint& target,
                                                duration connect_timeout) {
   const auto executor = co_await boost::asio::this_coro::executor;
--- a/Libraries/LibTraffic/connection_pool.h
+++ b/Libraries/LibTraffic/connection_pool.h
@@ -23,6 +23,11 @@
   void Keep(const endpoint& target, std::unique_ptr<http_connection> connection,
             time_point now);
 
+  /// Closes the idle connections to `target` that have been idle since before
+  /// `since`: an exchange that began then got no answer, so the target may be
+  /// cut off, and each of them would cost a request its deadline.
+  void CloseIdleSince(const endpoint& target, time_point since);
+
  private:
   std::map<endpoint, std::vector<std::unique_ptr<http_connection>>> idle_;
 };
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -84,6 +84,13 @@
   result.answer.reset();
 }
 
+// Whether the owner may be cut off, or its connections silent.
+bool IsUnanswered(attempt_outcome outcome) {
+  return outcome == attempt_outcome::kLostWhileWriting ||
+         outcome == attempt_outcome::kLostAfterWriting ||
+         outcome == attempt_outcome::kNoAnswerInTime;
+}
+
 // Must be called before the project's fields are removed from the answer.
 void RecordOwnerClock(http_connection& connection, const attempt_result& result,
                       time_point now) {
@@ -112,13 +119,16 @@
   if (connection == nullptr) {
     co_return result;
   }
-  PrepareForOwner(incoming.request.message, owner, incoming, attempt,
-                  clock.Now(), connection->clock);
+  const time_point begin = clock.Now();
+  PrepareForOwner(incoming.request.message, owner, incoming, attempt, begin,
+                  connection->clock);
   result = co_await Exchange(connection, incoming.request, incoming.deadline,
                              clock, {.id = request_id_rule::kRequired}, watch);
   if (connection != nullptr) {
     RecordOwnerClock(*connection, result, clock.Now());
     worker.pool.Keep(owner.hop, std::move(connection), clock.Now());
+  } else if (IsUnanswered(result.outcome)) {
+    worker.pool.CloseIdleSince(owner.hop, begin);
   }
   ExtractVerdictAndLoad(result);
   co_return result;
--- a/Tests/LibRouting/test_upstream_choice.cc
+++ b/Tests/LibRouting/test_upstream_choice.cc
@@ -141,6 +141,68 @@
   BOOST_TEST(!chooser.IsEjected(clock.Now(), "vm-1"));
 }
 
+// The load of a day on which a third of the VMs was cut off while a burst
+// filled the others: unreachable upstreams report no wait, and requests that
+// found all others full went there, four connection timeouts each.
+BOOST_AUTO_TEST_CASE(NoRequestWaitsAtAnUnreachableUpstreamBecauseOthersAreFull) {
+  const placement_criteria criteria{.rank = request_priority::kInteractive,
+                                    .longest_wait = milliseconds{200},
+                                    .objective_left = milliseconds{500},
+                                    .bytes = 0};
+  const auto choose = [&] {
+    return chooser.Choose(clock.Now(), upstreams, tried, seconds{10}, random,
+                          criteria);
+  };
+  choose();
+  int wasted = 0;
+  for (int step = 0; step < 400; ++step) {
+    for (const upstream& each : upstreams) {
+      if (each.vm >= "vm-4") {
+        chooser.RecordReportedLoad(
+            clock.Now(), each.vm,
+            {request_priority::kInteractive, milliseconds{900},
+             milliseconds{100}, 12, milliseconds{1}});
+      }
+    }
+    if (const auto choice = choose()) {
+      BOOST_REQUIRE(choice->chosen->vm < "vm-4");
+      ++wasted;
+      Call(choice->chosen->vm, attempt_signal::kUnreachable, milliseconds{250});
+    } else {
+      BOOST_TEST(chooser.AreAllFull());
+    }
+    clock.Advance(milliseconds{10});
+  }
+  // In 4 s each of the four is tried after 0, 0.5, 1.5 and 3.5 s.
+  BOOST_TEST(wasted <= 16);
+}
+
+BOOST_AUTO_TEST_CASE(AnUnreachableUpstreamGetsOneAttemptAtATime) {
+  Choose();
+  Call("vm-1", attempt_signal::kUnreachable, milliseconds{250});
+  clock.Advance(milliseconds{600});
+  chooser.Begin("vm-1");
+  BOOST_TEST(Run(100, UniformLatency).count("vm-1") == 0U);
+  chooser.End(clock.Now(), "vm-1", attempt_signal::kGood, milliseconds{5});
+  clock.Advance(seconds{10});
+  BOOST_TEST(Run(1'000, UniformLatency)["vm-1"] > 150);
+}
+
+// A node that is cut off refuses at once what its own upstream can't take.
+BOOST_AUTO_TEST_CASE(WhereNothingCanBeReachedNothingIsChosen) {
+  Choose();
+  for (const upstream& each : upstreams) {
+    if (each.vm != "vm-2") {
+      Call(each.vm, attempt_signal::kUnreachable, milliseconds{250});
+    }
+  }
+  BOOST_TEST(Choose()->vm == "vm-2");
+  tried = {&upstreams[2]};
+  BOOST_TEST(Choose() == nullptr);
+  clock.Advance(milliseconds{600});
+  BOOST_TEST(Choose() != nullptr);
+}
+
 BOOST_AUTO_TEST_CASE(AtMostHalfOfTheUpstreamsAreEjected) {
   Choose();
   int ejected = 0;
