LibNode: End a planned stop with no request read and unanswered

Cause: a stopping node ended as soon as nothing was in flight. A request that the traffic thread read in that moment, but had not yet counted, was lost with a clean close: its caller could not know whether it had run.

Change: before it ends, a node ends the wait on all idle connections, each on its own thread, and goes only when every thread has done that after what it had read by then was counted; what comes later stays unread, and the reset says so. Lingering closes count as in flight.

Measured: AStopUnderLoadEndsNoConnectionWithARequestThatWasRead without the two new calls: 3 of 3 runs of 20 stops failed, with 5, 6 and 7 stops that cut a request and others that never came to rest under the load. TestLibNode passed.

--- a/Libraries/LibCatalog/catalog.cc
+++ b/Libraries/LibCatalog/catalog.cc
@@ -144,10 +144,9 @@
 // changed anything: the same revision may have another content.
 bool catalog::ReplaceItem(const catalog_item& item) {
   catalog_item& held = items_[item.key];
-  const bool is_same = held.content != nullptr &&
-                       held.revision == item.revision &&
-                       held.created == item.created &&
-                       *held.content == *item.content;
+  const bool is_same =
+      held.content != nullptr && held.revision == item.revision &&
+      held.created == item.created && *held.content == *item.content;
   if (!is_same) {
     held = item;
   }
--- a/Libraries/LibCatalog/upstream_directory.cc
+++ b/Libraries/LibCatalog/upstream_directory.cc
@@ -65,11 +65,10 @@
 }
 
 bool upstream_directory::Expire(time_point now) {
-  const bool has_expired =
-      std::erase_if(entries_, [now](const auto& item) {
-        const time_point end = item.second.dropped_at;
-        return end != time_point{} && now >= end;
-      }) > 0;
+  const bool has_expired = std::erase_if(entries_, [now](const auto& item) {
+                             const time_point end = item.second.dropped_at;
+                             return end != time_point{} && now >= end;
+                           }) > 0;
   if (has_expired) {
     UpdateOwnLeaving(now);
   }
--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -207,11 +207,11 @@
         }
         // Another era, so the revision asked for is not one of its own.
         if (changes->era != from.era) {
-          RecordCallEnd(error{error_kind::kConflict,
-                              "the platform's era is " +
-                                  std::to_string(changes->era) +
-                                  " and not " + std::to_string(from.era)},
-                        false);
+          RecordCallEnd(
+              error{error_kind::kConflict,
+                    "the platform's era is " + std::to_string(changes->era) +
+                        " and not " + std::to_string(from.era)},
+              false);
           return;
         }
         const auto changed =
--- a/Libraries/LibNode/catalog_control.h
+++ b/Libraries/LibNode/catalog_control.h
@@ -93,7 +93,7 @@
 
   /// What this node knows about a linked peer.
   struct peer_progress {
-    catalog_position position;  ///< Of its catalog; revision 0 if unknown.
+    catalog_position position;      ///< Of its catalog; revision 0 if unknown.
     bool is_in_own_domain = false;  ///< In this node's failure domain.
     time_point ahead_since{};  ///< Since when its catalog is newer than this
                                ///< node's; zero while it is not.
--- a/Libraries/LibNode/catalog_control_peers.cc
+++ b/Libraries/LibNode/catalog_control_peers.cc
@@ -197,9 +197,8 @@
   log_.Add(log_line{"peer-up"}.Text("peer", peer_vm));
   const bool is_in_own_domain =
       hello.sender.failure_domain == settings_.failure_domain;
-  peers_[peer_vm] = {.position = {},
-                     .is_in_own_domain = is_in_own_domain,
-                     .ahead_since = {}};
+  peers_[peer_vm] = {
+      .position = {}, .is_in_own_domain = is_in_own_domain, .ahead_since = {}};
   SendState(peer_vm, is_in_own_domain);
 }
 
@@ -274,9 +273,9 @@
   const catalog_position sent_position = sent.update.Position();
   progress.position = std::max(progress.position, sent_position);
   const catalog_position before = catalog_.Position();
-  const bool has_gap = sent.update.after > 0 &&
-                       before < catalog_position{sent.update.era,
-                                                 sent.update.after};
+  const bool has_gap =
+      sent.update.after > 0 &&
+      before < catalog_position{sent.update.era, sent.update.after};
   if (has_gap) {
     RequestChanges(peer_vm);
     return;
--- a/Libraries/LibNode/catalog_node.cc
+++ b/Libraries/LibNode/catalog_node.cc
@@ -3,25 +3,11 @@
 #include <csignal>
 #include <utility>
 
+#include "LibNode/stop_schedule.h"
 #include "LibNode/traffic_start.h"
 
 namespace wagtailmount {
 
-namespace {
-
-/// How long a stopping node still accepts requests from callers. The platform
-/// checks readiness once a second and stops routing callers here after two
-/// failed checks.
-constexpr std::chrono::milliseconds kCallerNoticePeriod{2'600};
-/// How long, after that, connections that callers opened at the last moment may
-/// still bring requests.
-constexpr std::chrono::milliseconds kLastRequestPeriod{300};
-/// The process stops this long before the end of the grace period, so that it
-/// closes its connections itself before the platform kills it.
-constexpr std::chrono::milliseconds kStopMargin{250};
-
-}  // namespace
-
 catalog_node::catalog_node(const node_settings& settings,
                            const platform_adapter& adapter,
                            const runtime_clock& clock, settings_loader reload)
@@ -177,17 +163,25 @@
     return;
   }
   const duration elapsed = clock_.Now() - stop_began_;
-  if (elapsed >= kCallerNoticePeriod) {
-    traffic_->BeginDrain();
-  }
-  if (elapsed >= kCallerNoticePeriod + kLastRequestPeriod &&
-      traffic_->IsIdle()) {
-    Finish(true);
-  } else if (elapsed >= settings_.drain_grace - kStopMargin) {
-    log_.Add(log_line{"stop-cuts-requests"}.Number(
-        "in_flight",
-        static_cast<std::int64_t>(traffic_->Counters().in_flight)));
-    Finish(false);
+  switch (StopPhaseAt(elapsed, settings_.drain_grace, traffic_->IsIdle())) {
+    case stop_phase::kNotice:
+      break;
+    case stop_phase::kDrain:
+      traffic_->BeginDrain();
+      break;
+    case stop_phase::kClose:
+      traffic_->BeginDrain();
+      traffic_->CloseIdleConnections();
+      if (traffic_->HasClosedIdleConnections() && traffic_->IsIdle()) {
+        Finish(true);
+      }
+      break;
+    case stop_phase::kCut:
+      log_.Add(log_line{"stop-cuts-requests"}.Number(
+          "in_flight",
+          static_cast<std::int64_t>(traffic_->Counters().in_flight)));
+      Finish(false);
+      break;
   }
 }
 
--- a/Libraries/LibRouting/upstream_choice.cc
+++ b/Libraries/LibRouting/upstream_choice.cc
@@ -422,9 +422,9 @@
 void upstream_chooser::Eject(time_point now, observations& seen) {
   const std::uint32_t doublings =
       std::min(seen.ejections_in_row, kMaxEjectionDoublings);
-  const duration first =
-      seen.is_unreachable ? duration{kFirstUnreachableEjection}
-                          : duration{kFirstEjection};
+  const duration first = seen.is_unreachable
+                             ? duration{kFirstUnreachableEjection}
+                             : duration{kFirstEjection};
   const duration longest = seen.is_unreachable
                                ? duration{kLongestUnreachableEjection}
                                : duration{kLongestEjection};
--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -320,16 +320,18 @@
     // NOTE: g++ 12 evaluates a co_await on the right of && in a condition even
     // if the left side is false, so it is a statement of its own.
     const bool has_request =
-        co_await WaitForRequest(caller, worker.state.idle_timeout.load());
+        co_await worker.WaitForClient(caller, worker.state.idle_timeout.load());
     if (!has_request) {
       break;
     }
     const in_flight_guard counted{worker.state.counters};
     caller_request request{worker, caller};
     next = co_await request.Serve();
-  }
-  if (next == next_step::kLingeringClose) {
-    co_await LingeringClose(caller);
+    // Counted as in flight, so that the last answer reaches the caller before
+    // the process ends.
+    if (next == next_step::kLingeringClose) {
+      co_await LingeringClose(caller);
+    }
   }
 }
 
--- a/Libraries/LibTraffic/connection_pool.cc
+++ b/Libraries/LibTraffic/connection_pool.cc
@@ -50,8 +50,7 @@
   idle_[target].push_back(std::move(connection));
 }
 
-void connection_pool::CloseIdleSince(const endpoint& target,
-                                     time_point since) {
+void connection_pool::CloseIdleSince(const endpoint& target, time_point since) {
   const auto found = idle_.find(target);
   if (found != idle_.end()) {
     std::erase_if(found->second, [since](const auto& connection) {
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -45,13 +45,13 @@
   } else {
     message.erase(ToBoost(kOwnerDeadlineField));
   }
-  hop_parameters parameters{.vm = owner.vm,
-                            .service = incoming.target.name,
-                            .time_left =
-                                duration_cast<milliseconds>(deadline - now),
-                            .rank = incoming.chosen_route.priority,
-                            .attempt = attempt,
-                            .objective_left = std::nullopt};
+  hop_parameters parameters{
+      .vm = owner.vm,
+      .service = incoming.target.name,
+      .time_left = duration_cast<milliseconds>(deadline - now),
+      .rank = incoming.chosen_route.priority,
+      .attempt = attempt,
+      .objective_left = std::nullopt};
   if (incoming.objective != time_point{}) {
     parameters.objective_left =
         duration_cast<milliseconds>(incoming.objective - now);
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -178,7 +178,8 @@
   http_connection client{std::move(socket)};
   bool is_kept_alive = true;
   while (is_kept_alive) {
-    const bool has_request = co_await WaitForRequest(client, kIdleHopTimeout);
+    const bool has_request =
+        co_await worker.WaitForClient(client, kIdleHopTimeout);
     if (!has_request) {
       break;
     }
--- a/Libraries/LibTraffic/http_connection.h
+++ b/Libraries/LibTraffic/http_connection.h
@@ -65,7 +65,7 @@
   /// X-Request-Id of the last complete exchange, by which a second copy of its
   /// answer is recognized; empty before the first.
   std::string last_request_id;
-  peer_clock clock;        ///< Of the other node; hop connections only.
+  peer_clock clock;  ///< Of the other node; hop connections only.
 };
 
 }  // namespace wagtailmount::detail
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -130,6 +130,23 @@
     }
   }
 
+  void CloseIdleConnections() override {
+    if (state_.is_closing.exchange(true)) {
+      return;
+    }
+    for (const auto& worker : workers_) {
+      boost::asio::post(worker->context, [this, &worker = *worker] {
+        worker.CloseIdleClients();
+        // Runs after what has been read by now is counted as in flight.
+        boost::asio::post(worker.context, [this] { ++closed_workers_; });
+      });
+    }
+  }
+
+  bool HasClosedIdleConnections() const override {
+    return closed_workers_ == workers_.size();
+  }
+
   bool IsIdle() const override { return state_.counters.in_flight == 0; }
 
   traffic_counters Counters() const override { return state_.counters.Read(); }
@@ -198,6 +215,7 @@
   traffic_state state_;
   std::vector<std::unique_ptr<traffic_worker>> workers_;
   std::vector<std::thread> threads_;
+  std::atomic<std::size_t> closed_workers_{0};
   // Used by the first thread only.
   std::optional<tcp::acceptor> caller_acceptor_;
   std::optional<tcp::acceptor> hop_acceptor_;
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -121,6 +121,15 @@
   /// callers; requests in flight continue.
   virtual void BeginDrain() = 0;
 
+  /// After BeginDrain(): closes the connections on which no request is being
+  /// read or served, and every other one after its answer, so that none is read
+  /// that this process would not answer any more.
+  virtual void CloseIdleConnections() = 0;
+
+  /// True once that has been done on every thread. If IsIdle() is true as well
+  /// then, the process may end.
+  virtual bool HasClosedIdleConnections() const = 0;
+
   /// True when no request is in flight.
   virtual bool IsIdle() const = 0;
 
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -1,5 +1,7 @@
 #include "LibTraffic/traffic_state.h"
 
+#include "LibTraffic/request_reading.h"
+
 namespace wagtailmount::detail {
 
 traffic_counters shared_counters::Read() const {
@@ -31,4 +33,22 @@
       .first->second;
 }
 
+task<bool> traffic_worker::WaitForClient(http_connection& client,
+                                         duration idle_timeout) {
+  if (state.is_closing) {
+    co_return false;
+  }
+  idle_clients.insert(&client);
+  const bool has_request = co_await WaitForRequest(client, idle_timeout);
+  idle_clients.erase(&client);
+  co_return has_request;
+}
+
+void traffic_worker::CloseIdleClients() {
+  for (http_connection* const client : idle_clients) {
+    // A request that has just been read is not affected, and is served.
+    client->stream.cancel();
+  }
+}
+
 }  // namespace wagtailmount::detail
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "LibBase/random.h"
@@ -75,6 +76,8 @@
   std::atomic<bool> is_leaving{false};
   /// New requests of callers are refused as well; implies `is_leaving`.
   std::atomic<bool> is_draining{false};
+  /// Connections are closed as soon as no request is served on them.
+  std::atomic<bool> is_closing{false};
   /// The service of the backend server on this VM.
   static const std::string& OwnService(const traffic_settings& settings,
                                        const routing_snapshot& snapshot) {
@@ -103,11 +106,19 @@
   /// stay; they are small.
   service_state& ServiceStateOf(const std::string& service_name);
 
+  /// Waits for the next request of a client; false when there will be none.
+  task<bool> WaitForClient(http_connection& client, duration idle_timeout);
+
+  /// Ends the wait for all clients, and with it their connections. What such a
+  /// client sends from then on stays unread, and the reset tells it so.
+  void CloseIdleClients();
+
   traffic_state& state;
   boost::asio::io_context context;
   random_source random;
   std::map<std::string, service_state, std::less<>> services;
   caller_wait_estimator patience;
+  std::set<http_connection*> idle_clients;
   // Declared after the context, so that idle connections are destroyed first.
   connection_pool pool;
 };
--- a/Tests/LibCatalog/test_catalog.cc
+++ b/Tests/LibCatalog/test_catalog.cc
@@ -193,9 +193,9 @@
 // revisions 6 and 7 again, with other contents.
 struct restored_platform {
   restored_platform() {
-    held.ApplyListing(std::vector{Item("s/1", 3), Item("s/2", 6, "before"),
-                                  Item("s/3", 9)},
-                      9, 4);
+    held.ApplyListing(
+        std::vector{Item("s/1", 3), Item("s/2", 6, "before"), Item("s/3", 9)},
+        9, 4);
     held.ApplyUpdate({9, 10, {Removal("s/4", 10)}, 4});
   }
 
--- a/Tests/LibLink/test_message_codec.cc
+++ b/Tests/LibLink/test_message_codec.cc
@@ -54,8 +54,7 @@
       compare_message{version, 9, ~std::uint64_t{0},
                       std::chrono::milliseconds{20}},
       membership_request_message{{42, 43}},
-      catalog_state_message{
-          41, std::chrono::milliseconds{30}, {"10.0.0.1"}, 3},
+      catalog_state_message{41, std::chrono::milliseconds{30}, {"10.0.0.1"}, 3},
       catalog_request_message{40, 3},
       catalog_update_message{
           {40,
@@ -145,7 +144,8 @@
        FrameOf({10, {1, 2, json(std::vector<std::string>(5, "a")), 0}}),
        "fast VMs are too many"},
       {"nameless catalog item",
-       FrameOf({12, {1, 2, json::array({{"", 1, 1, 0, 0, BinaryOf(1)}}), 0, 0}}),
+       FrameOf(
+           {12, {1, 2, json::array({{"", 1, 1, 0, 0, BinaryOf(1)}}), 0, 0}}),
        "key is empty"},
       {"catalog content as text",
        FrameOf({12, {1, 2, json::array({{"a", 1, 1, 0, 0, "text"}}), 0, 0}}),
--- a/Tests/LibLoad/test_start_check.cc
+++ b/Tests/LibLoad/test_start_check.cc
@@ -41,11 +41,10 @@
   for (const start_case& each : table) {
     const time_point leaving_since =
         each.leaving_for ? now - *each.leaving_for : time_point{};
-    BOOST_TEST((CauseNotToStart(now, {.deadline = now + each.deadline_in,
-                                      .has_requester_left =
-                                          each.has_requester_left,
-                                      .leaving_since = leaving_since}) ==
-                each.expected),
+    BOOST_TEST((CauseNotToStart(
+                    now, {.deadline = now + each.deadline_in,
+                          .has_requester_left = each.has_requester_left,
+                          .leaving_since = leaving_since}) == each.expected),
                each.name);
   }
 }
--- a/Tests/LibNode/test_catalog_control.cc
+++ b/Tests/LibNode/test_catalog_control.cc
@@ -151,12 +151,15 @@
   structured_log log{{}, clock};
   idle_hub hub;
   std::shared_ptr<const routing_snapshot> published;
-  catalog_control control{
-      settings, clock, source, format, log,
-      [this](std::shared_ptr<const routing_snapshot> made) {
-        published = std::move(made);
-      },
-      1};
+  catalog_control control{settings,
+                          clock,
+                          source,
+                          format,
+                          log,
+                          [this](std::shared_ptr<const routing_snapshot> made) {
+                            published = std::move(made);
+                          },
+                          1};
 };
 
 }  // namespace
@@ -182,11 +185,8 @@
   Step(1'000ms);
   BOOST_REQUIRE(source.watch != nullptr);
   BOOST_TEST(source.watched_after == 14U);
-  std::exchange(source.watch, nullptr)(
-      catalog_changes{16,
-                      {Entry("s/i-2", 15, "10.0.0.2 ready", 15),
-                       Entry("op", 16, "8")},
-                      5});
+  std::exchange(source.watch, nullptr)(catalog_changes{
+      16, {Entry("s/i-2", 15, "10.0.0.2 ready", 15), Entry("op", 16, "8")}, 5});
   BOOST_TEST(control.InForce()->Version().revision == 8U);
   Step(2'000ms);
   BOOST_TEST(Available() == "i-1 i-2 ");
@@ -194,9 +194,10 @@
 
 BOOST_AUTO_TEST_CASE(AnEntryThatIsNotWrittenAgainIsDroppedAfterItsGrace) {
   EndWatchWith(Fail(error_kind::kConflict, "gone"));
-  AnswerListing(
-      {14, {Entry("op", 10, "7"), Entry("s/i-1", 11, "10.0.0.1 ready")}, false,
-       5});
+  AnswerListing({14,
+                 {Entry("op", 10, "7"), Entry("s/i-1", 11, "10.0.0.1 ready")},
+                 false,
+                 5});
   Step(2'000ms);
   BOOST_TEST(Available() == "i-1 i-2 ");
   Step(600ms);
@@ -206,8 +207,7 @@
 // The revision that the node watched after was given out again meanwhile, so
 // the platform answers the watch; its era shows that changes are missing.
 BOOST_AUTO_TEST_CASE(AWatchAnsweredInANewEraIsNotTakenForItsChanges) {
-  EndWatchWith(catalog_changes{
-      22, {Entry("s/i-9", 21, "10.0.0.9 ready")}, 5});
+  EndWatchWith(catalog_changes{22, {Entry("s/i-9", 21, "10.0.0.9 ready")}, 5});
   BOOST_TEST((control.CompleteTo() == 20U));
   BOOST_TEST(Available() == "i-1 i-2 ");
   AnswerListing({22,
@@ -269,12 +269,9 @@
   BOOST_TEST(control.InForce()->Version().revision == 7U);
   control.OnPeerMessage(
       "10.0.0.2",
-      catalog_update_message{{0,
-                              9,
-                              {Entry("op", 9, "8"),
-                               Entry("s/i-1", 8, "10.0.0.1 ready")},
-                              6},
-                             0ms});
+      catalog_update_message{
+          {0, 9, {Entry("op", 9, "8"), Entry("s/i-1", 8, "10.0.0.1 ready")}, 6},
+          0ms});
   BOOST_TEST(control.Era() == 6U);
   BOOST_TEST(control.CompleteTo() == 9U);
   BOOST_TEST(control.InForce()->Version().revision == 8U);
--- a/Tests/LibRouting/test_upstream_choice.cc
+++ b/Tests/LibRouting/test_upstream_choice.cc
@@ -144,7 +144,8 @@
 // The load of a day on which a third of the VMs was cut off while a burst
 // filled the others: unreachable upstreams report no wait, and requests that
 // found all others full went there, four connection timeouts each.
-BOOST_AUTO_TEST_CASE(NoRequestWaitsAtAnUnreachableUpstreamBecauseOthersAreFull) {
+BOOST_AUTO_TEST_CASE(
+    NoRequestWaitsAtAnUnreachableUpstreamBecauseOthersAreFull) {
   const placement_criteria criteria{.rank = request_priority::kInteractive,
                                     .longest_wait = milliseconds{200},
                                     .objective_left = milliseconds{500},
--- a/Tests/LibTraffic/test_drain.cc
+++ b/Tests/LibTraffic/test_drain.cc
@@ -1,6 +1,10 @@
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <deque>
+#include <optional>
+#include <stdexcept>
 #include <thread>
+#include <vector>
 
 #include "Tests/LibTraffic/traffic_fixture.h"
 
@@ -115,6 +119,58 @@
   BOOST_TEST(owner.backend_server->RunCount("queued") == 0);
 }
 
+// A planned stop under load. A caller may find its connection reset, which says
+// that its request was not read; it may not find it ended after its request was
+// read.
+BOOST_AUTO_TEST_CASE(AStopUnderLoadEndsNoConnectionWithARequestThatWasRead) {
+  for (const std::uint32_t threads : {1U, 3U}) {
+    for (int round = 0; round < 10; ++round) {
+      traffic_fixture fixture{2, {}, threads};
+      fixture.Publish();
+      auto& stopping = fixture.Owner(1);
+      std::atomic<bool> has_stopped{false};
+      std::atomic<int> cut{0};
+      std::atomic<int> answered{0};
+      std::vector<std::thread> callers;
+      for (int number = 0; number < 8; ++number) {
+        callers.emplace_back([&, number] {
+          // Other nodes go on sending until they can't connect any more.
+          for (int call = 0; !has_stopped; ++call) {
+            std::optional<test_caller> caller;
+            try {
+              caller.emplace(stopping.hop_address);
+            } catch (const std::runtime_error&) {
+              return;
+            }
+            caller->Send("POST / HTTP/1.1\r\nHost: a\r\nX-Request-Id: " +
+                         std::to_string(number) + "-" + std::to_string(call) +
+                         "\r\nWagtailmount-Hop: vm-1 ledger 3000 0 1\r\n"
+                         "Content-Length: 2\r\n\r\nab");
+            if (caller->Receive().is_complete) {
+              ++answered;
+            } else {
+              cut += caller->HasPeerReadEverything() ? 1 : 0;
+            }
+          }
+        });
+      }
+      BOOST_REQUIRE(Eventually([&] { return answered > 40; }));
+      stopping.server->BeginDrain();
+      stopping.server->CloseIdleConnections();
+      BOOST_TEST(Eventually([&] {
+        return stopping.server->HasClosedIdleConnections() &&
+               stopping.server->IsIdle();
+      }));
+      stopping.server.reset();
+      has_stopped = true;
+      for (std::thread& caller : callers) {
+        caller.join();
+      }
+      BOOST_TEST(cut == 0);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ConnectionsOpenedBeforeTheDrainAreRefusedAsDraining) {
   traffic_fixture fixture{2};
   fixture.Publish();
--- a/Tests/LibTraffic/test_failures.cc
+++ b/Tests/LibTraffic/test_failures.cc
@@ -132,16 +132,16 @@
         const std::string name =
             behaviour + (is_local ? "-local-" : "-hop-") + std::to_string(call);
         BOOST_TEST_CONTEXT(name) {
-          const auto first = Call(address, "POST", "/",
-                                  "X-Fake: " + behaviour +
-                                      "\r\nX-Request-Id: " + name + "-a\r\n",
-                                  "first");
+          const auto first = Call(
+              address, "POST", "/",
+              "X-Fake: " + behaviour + "\r\nX-Request-Id: " + name + "-a\r\n",
+              "first");
           BOOST_TEST(first.status == 200);
           BOOST_TEST(first.body == "first");
           std::this_thread::sleep_for(milliseconds{2});
           const auto second =
-              Call(address, "POST", "/",
-                   "X-Request-Id: " + name + "-b\r\n", "second");
+              Call(address, "POST", "/", "X-Request-Id: " + name + "-b\r\n",
+                   "second");
           BOOST_TEST(second.status == 200);
           BOOST_TEST(second.body == "second");
           BOOST_TEST(owner.backend_server->RunCount(name + "-b") == 1);
--- a/Tests/LibTraffic/traffic_fixture.cc
+++ b/Tests/LibTraffic/traffic_fixture.cc
@@ -198,6 +198,14 @@
   return ::poll(&polled, 1, 1'500) > 0 && ::recv(socket_, &byte, 1, 0) <= 0;
 }
 
+bool test_caller::HasPeerReadEverything() {
+  constexpr milliseconds kResetDelay{50};
+  std::this_thread::sleep_for(kResetDelay);
+  pollfd polled{socket_, POLLIN, 0};
+  ::poll(&polled, 1, 0);
+  return (polled.revents & (POLLERR | POLLHUP)) == 0;
+}
+
 received_answer Call(const endpoint& address, const std::string& method,
                      const std::string& target, const std::string& header_lines,
                      const std::string& body) {
--- a/Tests/LibTraffic/traffic_fixture.h
+++ b/Tests/LibTraffic/traffic_fixture.h
@@ -90,6 +90,10 @@
   /// Waits up to 1.5 s; true if the peer closes the connection without sending
   /// anything more.
   bool IsClosed();
+  /// After Receive() found the connection closed: whether the peer had read
+  /// everything that was sent. Otherwise its system answers with a reset, which
+  /// this waits for.
+  bool HasPeerReadEverything();
   void Close();
 
  private:
--- a/Tests/platform/test_formats.cc
+++ b/Tests/platform/test_formats.cc
@@ -108,9 +108,9 @@
                              {"unsafe", idempotency::kNever, 0},
                              {"upload", idempotency::kNever, 1}};
   for (const kind_case& each : table) {
-    const auto read = ReadConfiguration(ItemOf(
-        "op/config", Replaced(kConfiguration, "\"safe\"",
-                              "\"" + std::string(each.kind) + "\"")));
+    const auto read = ReadConfiguration(
+        ItemOf("op/config", Replaced(kConfiguration, "\"safe\"",
+                                     "\"" + std::string(each.kind) + "\"")));
     BOOST_REQUIRE(read.has_value());
     const route* const found = (*read)->FindRoute("a.example", "/a/x", "GET");
     BOOST_REQUIRE(found != nullptr);
--- a/Tests/platform/test_store_client.cc
+++ b/Tests/platform/test_store_client.cc
@@ -105,8 +105,7 @@
 BOOST_AUTO_TEST_CASE(TheEraOfAnAnswerIsRead) {
   dribbling_store without{PiecesOfAnswer(1), milliseconds{0}};
   BOOST_TEST(ListFrom(without)->era == 0U);
-  dribbling_store with{PiecesOfAnswer(1, "Store-Era: 12\r\n"),
-                       milliseconds{0}};
+  dribbling_store with{PiecesOfAnswer(1, "Store-Era: 12\r\n"), milliseconds{0}};
   BOOST_TEST(ListFrom(with)->era == 12U);
   dribbling_store malformed{PiecesOfAnswer(1, "Store-Era: 1x\r\n"),
                             milliseconds{0}};
