LibTraffic: Refuse early where the node itself is saturated

Cause: under a burst of 3 with callers that repeat at once, each on a new connection, a node's traffic thread got more events than it could handle. New connections waited longest: one was accepted in each turn of the thread's queue.

Change: a marker in the thread's queue measures how long its events wait. Where even the shortest wait of a window stays above 40 ms, the node refuses a growing share of callers' new requests at once, as not run, with the reason "node-saturated", a Retry-After, a counter and a log line on entering and leaving. The wait counts towards deadline and objective, and after a noticeable one a caller that has left is dropped first. Requests of other nodes are not refused for it: work has been spent on them already.

Weighed: newest first (the oldest would be abandoned unanswered), the kernel's time of the last byte (TCP_INFO; not offered everywhere), a second traffic thread (the share of the core binds, not the thread).

--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -22,6 +22,9 @@
 // One of this many requests that succeed at the first attempt is logged.
 constexpr std::uint64_t kSuccessesPerLogLine = 64;
 
+// After a longer wait in the thread's queue, a caller may have left already.
+constexpr std::chrono::milliseconds kNoticeableQueueWait{100};
+
 // What happens to a connection after one request.
 enum class next_step : std::uint8_t { kKeepAlive, kLingeringClose, kCloseNow };
 
@@ -105,8 +108,18 @@
     if (chosen == nullptr) {
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kNoRoute);
     }
-    const next_step next = co_await Run(*snapshot_, *chosen);
-    co_return next;
+    worker_.MeasureQueueWait();
+    SetDeadlines(*chosen);
+    if (worker_.saturation.LastWait() > kNoticeableQueueWait &&
+        caller_.HasPeerClosed()) {
+      co_return next_step::kCloseNow;
+    }
+    if (worker_.saturation.ShouldRefuse(worker_.random)) {
+      ++state_.counters.refused_saturated;
+      co_return co_await Refuse(verdict::kNotRun,
+                                refusal_cause::kNodeSaturated);
+    }
+    co_return co_await Run(*snapshot_, *chosen);
   }
 
  private:
@@ -116,7 +129,6 @@
   }
 
   task<next_step> Run(const routing_snapshot& snapshot, const route& chosen) {
-    SetDeadlines(chosen);
     const service& target = ChooseTargetByWeight(chosen, worker_.random);
     outgoing_request request;
     const body_status read_status =
@@ -236,10 +248,10 @@
   }
 
   // Sets deadlines and objective by the route and by how long the caller states
-  // that it will wait.
+  // that it will wait. The request may have been in the thread's queue before.
   void SetDeadlines(const route& chosen) {
     using std::chrono::milliseconds;
-    begin_ = state_.clock.Now();
+    begin_ = state_.clock.Now() - worker_.saturation.LastWait();
     deadline_ = begin_ + chosen.deadline;
     caller_deadline_ = deadline_;
     objective_ = begin_ + chosen.latency_objective;
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -48,7 +48,8 @@
   std::uint64_t owner_admitted = 0;  ///< Started at this VM's backend server.
   std::uint64_t owner_refused = 0;   ///< Refused: draining, full or too late.
   std::uint64_t late_answers_dropped = 0;
-  std::uint64_t in_flight = 0;  ///< Current number, not a total.
+  std::uint64_t refused_saturated = 0;  ///< Of callers, by a saturated node.
+  std::uint64_t in_flight = 0;          ///< Current number, not a total.
 };
 
 /// The upper bounds of the latency histogram's buckets.
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -1,5 +1,7 @@
 #include "LibTraffic/traffic_state.h"
 
+#include <boost/asio/post.hpp>
+
 #include "LibTraffic/request_reading.h"
 
 namespace wagtailmount::detail {
@@ -17,6 +19,7 @@
   counts.owner_admitted = owner_admitted;
   counts.owner_refused = owner_refused;
   counts.late_answers_dropped = late_answers_dropped;
+  counts.refused_saturated = refused_saturated;
   counts.in_flight = in_flight;
   return counts;
 }
@@ -33,6 +36,29 @@
       .first->second;
 }
 
+void traffic_worker::MeasureQueueWait() {
+  if (has_marker) {
+    return;
+  }
+  has_marker = true;
+  boost::asio::post(context, [this, begin = state.clock.Now()] {
+    has_marker = false;
+    const bool was_saturated = saturation.IsSaturated();
+    const time_point now = state.clock.Now();
+    saturation.RecordWait(now, now - begin);
+    if (state.log != nullptr && was_saturated != saturation.IsSaturated()) {
+      using std::chrono::duration_cast;
+      using std::chrono::milliseconds;
+      state.log->Add(
+          log_line{was_saturated ? "node-relieved" : "node-saturated"}
+              .Number("queue_wait_ms",
+                      duration_cast<milliseconds>(now - begin).count())
+              .Number("refused", static_cast<std::int64_t>(
+                                     state.counters.refused_saturated)));
+    }
+  });
+}
+
 task<bool> traffic_worker::WaitForClient(http_connection& client,
                                          duration idle_timeout) {
   if (state.is_closing) {
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -10,6 +10,7 @@
 #include "LibBase/random.h"
 #include "LibLoad/caller_wait_estimator.h"
 #include "LibLoad/retry_budget.h"
+#include "LibLoad/saturation_controller.h"
 #include "LibRouting/exchange_sizes.h"
 #include "LibTraffic/backend_gate.h"
 #include "LibTraffic/connection_pool.h"
@@ -32,6 +33,7 @@
   std::atomic<std::uint64_t> owner_admitted{0};
   std::atomic<std::uint64_t> owner_refused{0};
   std::atomic<std::uint64_t> late_answers_dropped{0};
+  std::atomic<std::uint64_t> refused_saturated{0};
   std::atomic<std::uint64_t> in_flight{0};
 
   traffic_counters Read() const;
@@ -106,6 +108,9 @@
   /// stay; they are small.
   service_state& ServiceStateOf(const std::string& service_name);
 
+  /// Puts a marker into this thread's queue, unless one is there.
+  void MeasureQueueWait();
+
   /// Waits for the next request of a client; false when there will be none.
   task<bool> WaitForClient(http_connection& client, duration idle_timeout);
 
@@ -119,6 +124,8 @@
   std::map<std::string, service_state, std::less<>> services;
   caller_wait_estimator patience;
   std::set<http_connection*> idle_clients;
+  saturation_controller saturation;
+  bool has_marker = false;  ///< In the queue.
   // Declared after the context, so that idle connections are destroyed first.
   connection_pool pool;
 };
