LibTraffic: Leave descriptors for new connections; take back saturation control

Not the processor: with 0.04 of 0.2 cores used, the nodes of one failure domain held all their 3,900 descriptors. Callers leave the connection of a refused try open; kept for the idle timeout of 15 s, they took what new connections need, which then waited unread in the backlog for seconds.

Change: once callers hold over half of the descriptors, answers end their connections. The number comes with the settings ("maximum_descriptors"), from the platform's template. Counters for both.

KeptConnectionsLeaveDescriptorsForNewOnes.

--- a/Libraries/LibLoad/attempt_outcome.h
+++ b/Libraries/LibLoad/attempt_outcome.h
@@ -47,7 +47,6 @@
   kMismatchedAnswer,  ///< The answer has another request's ID.
   kBodyLost,          ///< The request's body was cut off.
   kOverloaded,        ///< The expected wait is longer than allowed.
-  kNodeSaturated,     ///< This node's own processor is the limit.
   kUnknown,           ///< The owner sent a name that is unknown here.
 };
 
--- a/Libraries/LibNode/settings.cc
+++ b/Libraries/LibNode/settings.cc
@@ -12,6 +12,7 @@
 constexpr std::uint64_t kMaximumCallsPerSecond = 1'000'000;
 constexpr std::uint64_t kMaximumVms = 1'000'000;
 constexpr std::uint64_t kMaximumTrafficThreads = 64;
+constexpr std::uint64_t kMaximumDescriptors = 1'048'576;
 constexpr double kMaximumLinkMegabits = 10e6;
 constexpr std::uint64_t kMaximumDrainGraceMs = 600'000;
 constexpr std::uint64_t kMaximumJoinWaitMs = 60'000;
@@ -184,6 +185,8 @@
       root.OptionalNumber("traffic_threads", 1, 1, kMaximumTrafficThreads));
   settings.link_megabits_per_second = root.OptionalFraction(
       "link_megabits_per_second", 0.0, 0.0, kMaximumLinkMegabits);
+  settings.maximum_descriptors = static_cast<std::uint32_t>(
+      root.OptionalNumber("maximum_descriptors", 0, 0, kMaximumDescriptors));
   settings.drain_grace = std::chrono::milliseconds(root.OptionalNumber(
       "drain_grace_ms", kDefaultDrainGraceMs, 0, kMaximumDrainGraceMs));
   ReadDrainGraceText(root, settings);
--- a/Libraries/LibNode/settings.h
+++ b/Libraries/LibNode/settings.h
@@ -48,6 +48,8 @@
   std::uint32_t traffic_threads = 1;
   double link_megabits_per_second = 0.0;  ///< Rate of this VM's link; 0
                                           ///< if unknown.
+  /// How many descriptors this process may have open; 0 if unknown.
+  std::uint32_t maximum_descriptors = 0;
   /// Retry budget of all nodes together: a share of a service's requests, and a
   /// number of retries beyond that. Only with platform_interface::kCatalog.
   double retry_share = 0.1;
--- a/Libraries/LibNode/traffic_start.cc
+++ b/Libraries/LibNode/traffic_start.cc
@@ -21,6 +21,7 @@
           .backend_server = settings.backend_server,
           .threads = settings.traffic_threads,
           .seed = seed,
+          .maximum_descriptors = settings.maximum_descriptors,
           .fields = {},
           .retries = {}};
 }
--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -22,9 +22,6 @@
 // One of this many requests that succeed at the first attempt is logged.
 constexpr std::uint64_t kSuccessesPerLogLine = 64;
 
-// After a longer wait in the thread's queue, a caller may have left already.
-constexpr std::chrono::milliseconds kNoticeableQueueWait{100};
-
 // What happens to a connection after one request.
 enum class next_step : std::uint8_t { kKeepAlive, kLingeringClose, kCloseNow };
 
@@ -108,18 +105,8 @@
     if (chosen == nullptr) {
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kNoRoute);
     }
-    worker_.MeasureQueueWait();
-    SetDeadlines(*chosen);
-    if (worker_.saturation.LastWait() > kNoticeableQueueWait &&
-        caller_.HasPeerClosed()) {
-      co_return next_step::kCloseNow;
-    }
-    if (worker_.saturation.ShouldRefuse(worker_.random)) {
-      ++state_.counters.refused_saturated;
-      co_return co_await Refuse(verdict::kNotRun,
-                                refusal_cause::kNodeSaturated);
-    }
-    co_return co_await Run(*snapshot_, *chosen);
+    const next_step next = co_await Run(*snapshot_, *chosen);
+    co_return next;
   }
 
  private:
@@ -129,6 +116,7 @@
   }
 
   task<next_step> Run(const routing_snapshot& snapshot, const route& chosen) {
+    SetDeadlines(chosen);
     const service& target = ChooseTargetByWeight(chosen, worker_.random);
     outgoing_request request;
     const body_status read_status =
@@ -173,9 +161,14 @@
   }
 
   // Whether another request may follow on the connection.
-  bool CanKeepAlive() const {
-    return parser_.is_done() && parser_.keep_alive() && !state_.is_leaving &&
-           !state_.is_stopping;
+  bool CanKeepAlive() {
+    const bool can_keep_alive = parser_.is_done() && parser_.keep_alive() &&
+                                !state_.is_leaving && !state_.is_stopping;
+    if (can_keep_alive && state_.IsCrowded()) {
+      ++state_.counters.closed_crowded;
+      return false;
+    }
+    return can_keep_alive;
   }
 
   void Record(const route& chosen, const service& target,
@@ -248,10 +241,10 @@
   }
 
   // Sets deadlines and objective by the route and by how long the caller states
-  // that it will wait. The request may have been in the thread's queue before.
+  // that it will wait.
   void SetDeadlines(const route& chosen) {
     using std::chrono::milliseconds;
-    begin_ = state_.clock.Now() - worker_.saturation.LastWait();
+    begin_ = state_.clock.Now();
     deadline_ = begin_ + chosen.deadline;
     caller_deadline_ = deadline_;
     objective_ = begin_ + chosen.latency_objective;
@@ -327,6 +320,7 @@
 task<void> ServeCaller(traffic_worker& worker,
                        boost::asio::ip::tcp::socket socket) {
   http_connection caller{std::move(socket)};
+  const counted_guard connected{worker.state.counters.caller_connections};
   next_step next = next_step::kKeepAlive;
   while (next == next_step::kKeepAlive) {
     // NOTE: g++ 12 evaluates a co_await on the right of && in a condition even
@@ -336,7 +330,7 @@
     if (!has_request) {
       break;
     }
-    const in_flight_guard counted{worker.state.counters};
+    const counted_guard counted{worker.state.counters.in_flight};
     caller_request request{worker, caller};
     next = co_await request.Serve();
     // Counted as in flight, so that the last answer reaches the caller before
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -183,7 +183,7 @@
     if (!has_request) {
       break;
     }
-    const in_flight_guard counted{worker.state.counters};
+    const counted_guard counted{worker.state.counters.in_flight};
     hop_request request{worker, client};
     is_kept_alive = co_await request.Serve();
   }
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -168,37 +168,26 @@
       co_await acceptor.async_accept(socket, detail::ReportTo(failure));
       if (!failure) {
         StartSession(worker, std::move(socket), serve);
-        if (workers_.front()->saturation.IsSaturated()) {
-          AcceptBacklog(acceptor, serve);
-        }
       } else if (acceptor.is_open()) {
         co_await PauseAfterFailure();
       }
     }
   }
 
-  // Accepts the connections in the listen backlog. A saturated thread accepts
-  // them together, since each turn of its queue takes long: callers that wait
-  // for a connection can't be told to come back later.
-  void AcceptBacklog(tcp::acceptor& acceptor, session_function serve) {
+  // First accepts the connections in the listen backlog: closing the socket
+  // would reset them, together with requests already written on them.
+  void StopListeningForCallers() {
     boost::system::error_code failure;
-    acceptor.non_blocking(true, failure);
+    caller_acceptor_->non_blocking(true, failure);
     while (!failure) {
       traffic_worker& worker = NextWorker();
       tcp::socket socket{worker.context};
-      acceptor.accept(socket, failure);
+      caller_acceptor_->accept(socket, failure);
       if (!failure) {
-        StartSession(worker, std::move(socket), serve);
+        StartSession(worker, std::move(socket), detail::ServeCaller);
       }
     }
-  }
-
-  // Closing the socket would reset the connections in its backlog, together
-  // with requests already written on them.
-  void StopListeningForCallers() {
-    AcceptBacklog(*caller_acceptor_, detail::ServeCaller);
-    boost::system::error_code ignored;
-    caller_acceptor_->close(ignored);
+    caller_acceptor_->close(failure);
   }
 
   traffic_worker& NextWorker() {
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -31,6 +31,8 @@
   endpoint backend_server;
   std::uint32_t threads = 1;
   std::uint64_t seed = 1;
+  /// How many descriptors the process may have open; 0 if unknown.
+  std::uint32_t maximum_descriptors = 0;
   request_fields fields;
   fleet_retry_limits retries;  ///< Share 0: each route's own policy applies.
 };
@@ -48,8 +50,10 @@
   std::uint64_t owner_admitted = 0;  ///< Started at this VM's backend server.
   std::uint64_t owner_refused = 0;   ///< Refused: draining, full or too late.
   std::uint64_t late_answers_dropped = 0;
-  std::uint64_t refused_saturated = 0;  ///< Of callers, by a saturated node.
-  std::uint64_t in_flight = 0;          ///< Current number, not a total.
+  /// Kept connections of callers ended early, to save descriptors.
+  std::uint64_t closed_crowded = 0;
+  std::uint64_t caller_connections = 0;  ///< Current number, not a total.
+  std::uint64_t in_flight = 0;           ///< Current number, not a total.
 };
 
 /// The upper bounds of the latency histogram's buckets.
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -1,7 +1,5 @@
 #include "LibTraffic/traffic_state.h"
 
-#include <boost/asio/post.hpp>
-
 #include "LibTraffic/request_reading.h"
 
 namespace wagtailmount::detail {
@@ -19,7 +17,8 @@
   counts.owner_admitted = owner_admitted;
   counts.owner_refused = owner_refused;
   counts.late_answers_dropped = late_answers_dropped;
-  counts.refused_saturated = refused_saturated;
+  counts.closed_crowded = closed_crowded;
+  counts.caller_connections = caller_connections;
   counts.in_flight = in_flight;
   return counts;
 }
@@ -36,27 +35,13 @@
       .first->second;
 }
 
-void traffic_worker::MeasureQueueWait() {
-  if (has_marker) {
-    return;
-  }
-  has_marker = true;
-  boost::asio::post(context, [this, begin = state.clock.Now()] {
-    has_marker = false;
-    const bool was_saturated = saturation.IsSaturated();
-    const time_point now = state.clock.Now();
-    saturation.RecordWait(now, now - begin);
-    if (state.log != nullptr && was_saturated != saturation.IsSaturated()) {
-      using std::chrono::duration_cast;
-      using std::chrono::milliseconds;
-      state.log->Add(
-          log_line{was_saturated ? "node-relieved" : "node-saturated"}
-              .Number("queue_wait_ms",
-                      duration_cast<milliseconds>(now - begin).count())
-              .Number("refused", static_cast<std::int64_t>(
-                                     state.counters.refused_saturated)));
-    }
-  });
+bool traffic_state::IsCrowded() const {
+  // The other half is for connections whose request is being served, for other
+  // nodes, the backend server and files.
+  constexpr std::uint32_t kCallerShareDivisor = 2;
+  return settings.maximum_descriptors > 0 &&
+         counters.caller_connections >
+             settings.maximum_descriptors / kCallerShareDivisor;
 }
 
 task<bool> traffic_worker::WaitForClient(http_connection& client,
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -10,7 +10,6 @@
 #include "LibBase/random.h"
 #include "LibLoad/caller_wait_estimator.h"
 #include "LibLoad/retry_budget.h"
-#include "LibLoad/saturation_controller.h"
 #include "LibRouting/exchange_sizes.h"
 #include "LibTraffic/backend_gate.h"
 #include "LibTraffic/connection_pool.h"
@@ -33,24 +32,25 @@
   std::atomic<std::uint64_t> owner_admitted{0};
   std::atomic<std::uint64_t> owner_refused{0};
   std::atomic<std::uint64_t> late_answers_dropped{0};
-  std::atomic<std::uint64_t> refused_saturated{0};
+  std::atomic<std::uint64_t> closed_crowded{0};
+  std::atomic<std::uint64_t> caller_connections{0};
   std::atomic<std::uint64_t> in_flight{0};
 
   traffic_counters Read() const;
 };
 
-/// Counts a request as in flight for the lifetime of the guard.
-class in_flight_guard {
+/// Adds one to a current number for the lifetime of the guard.
+class counted_guard {
  public:
-  explicit in_flight_guard(shared_counters& counters) : counters_(counters) {
-    ++counters_.in_flight;
+  explicit counted_guard(std::atomic<std::uint64_t>& number) : number_(number) {
+    ++number_;
   }
-  in_flight_guard(const in_flight_guard&) = delete;
-  in_flight_guard& operator=(const in_flight_guard&) = delete;
-  ~in_flight_guard() { --counters_.in_flight; }
+  counted_guard(const counted_guard&) = delete;
+  counted_guard& operator=(const counted_guard&) = delete;
+  ~counted_guard() { --number_; }
 
  private:
-  shared_counters& counters_;
+  std::atomic<std::uint64_t>& number_;
 };
 
 /// State shared by all traffic threads.
@@ -86,6 +86,10 @@
     return snapshot.Own() ? snapshot.Own()->service : settings.service;
   }
 
+  /// Whether callers have so many connections open that kept ones could take
+  /// the descriptors which new connections need.
+  bool IsCrowded() const;
+
   shared_counters counters;
   service_statistics statistics;
   decision_log decisions;
@@ -108,9 +112,6 @@
   /// stay; they are small.
   service_state& ServiceStateOf(const std::string& service_name);
 
-  /// Puts a marker into this thread's queue, unless one is there.
-  void MeasureQueueWait();
-
   /// Waits for the next request of a client; false when there will be none.
   task<bool> WaitForClient(http_connection& client, duration idle_timeout);
 
@@ -124,8 +125,6 @@
   std::map<std::string, service_state, std::less<>> services;
   caller_wait_estimator patience;
   std::set<http_connection*> idle_clients;
-  saturation_controller saturation;
-  bool has_marker = false;  ///< In the queue.
   // Declared after the context, so that idle connections are destroyed first.
   connection_pool pool;
 };
--- a/Tests/LibNode/test_settings.cc
+++ b/Tests/LibNode/test_settings.cc
@@ -51,6 +51,8 @@
      "$.advertise.admin", "is not a known key"},
     {R"("seeds": ["127.0.0.1:7103"])", R"("seeds": [7103])", "$.seeds",
      "must hold only texts"},
+    {R"("seeds": [)", R"("maximum_descriptors": -1, "seeds": [)",
+     "$.maximum_descriptors", "must be a whole number from 0 to 1048576"},
     {R"("seeds": [)", R"("link_megabits_per_second": -1, "seeds": [)",
      "$.link_megabits_per_second", "must be a number from 0"},
     {R"("listen": {)", R"("listen": 3, "x": {)", "$.listen",
--- a/Tests/LibTraffic/test_request_path.cc
+++ b/Tests/LibTraffic/test_request_path.cc
@@ -1,4 +1,5 @@
 #include <boost/test/unit_test.hpp>
+#include <deque>
 
 #include "Tests/LibTraffic/traffic_fixture.h"
 
@@ -32,6 +33,36 @@
   BOOST_TEST(fixture.Owner(1).server->Counters().owner_admitted == 1U);
 }
 
+// Callers that come back at once, each time on a new connection, leave the one
+// before open. Kept connections must not take the descriptors that new ones
+// need.
+BOOST_AUTO_TEST_CASE(KeptConnectionsLeaveDescriptorsForNewOnes) {
+  wagtailmount::testing::fixture_options options;
+  options.maximum_descriptors = 40;
+  traffic_fixture fixture{1, options};
+  fixture.Publish();
+  auto& node = fixture.Owner(1);
+  std::deque<test_caller> callers;
+  for (int count = 0; count < 60; ++count) {
+    callers.emplace_back(node.caller_address);
+    callers.back().Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    const auto answer = callers.back().Receive();
+    BOOST_TEST(answer.status == 200);
+    const bool is_kept = answer.Field("Connection") != "close";
+    BOOST_TEST(is_kept == (count < 20));
+    if (!is_kept) {
+      callers.pop_back();
+    }
+  }
+  BOOST_TEST(node.server->Counters().closed_crowded == 40U);
+  BOOST_TEST(wagtailmount::testing::Eventually(
+      [&] { return node.server->Counters().caller_connections == 20U; }));
+  for (test_caller& kept : callers) {
+    kept.Send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+    BOOST_TEST(kept.Receive().status == 200);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(ARequestReachesTheLocalBackendServer) {
   traffic_fixture fixture{1};
   fixture.Publish();
--- a/Tests/LibTraffic/traffic_fixture.cc
+++ b/Tests/LibTraffic/traffic_fixture.cc
@@ -59,6 +59,7 @@
     settings.hop = made.hop_address;
     settings.backend_server = made.backend_address;
     settings.threads = threads;
+    settings.maximum_descriptors = options_.maximum_descriptors;
     auto started = traffic_server::Start(settings, clock_);
     if (!started) {
       throw std::runtime_error(started.error().message);
--- a/Tests/LibTraffic/traffic_fixture.h
+++ b/Tests/LibTraffic/traffic_fixture.h
@@ -31,6 +31,7 @@
   std::uint32_t attempts = 3;
   double budget_share = 1.0;  ///< Retries allowed per request.
   std::chrono::milliseconds deadline{2'000};
+  std::uint32_t maximum_descriptors = 0;  ///< Of each node; 0 if unknown.
 };
 
 /// Runs the nodes and backend servers of several VMs in this process. All nodes
