LibNode: Use no upstream that only an old listing shows after a start

Cause: a process that starts lists what may be seconds old, which costs the platform little, and used it for up to 0.7 s, until its first watch or a peer's state: a backend server that had left in those seconds was in use again. Only readiness waited for a confirmation, and callers of the same VM don't ask for that at once.

Ruled out: a current listing at each start, which a fleet that starts together can't afford.

--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -95,22 +95,28 @@
   links_.Tick();
   feed_.UpdateOutage(now);
   CallPlatform(now);
-  UpdateFreshness(now);
   if (directory_.Expire(now)) {
     is_snapshot_due_ = true;
   }
   PublishIfChanged();
   RequestMissingChanges(now);
   SendToPeers(now);
-  const bool is_confirmed =
-      is_fresh_ || now - started_at_ > kConfirmationTimeout;
-  if (!is_serving_ && in_force_ != nullptr && is_confirmed) {
-    is_serving_ = true;
-    log_.Add(log_line{"serving"}
-                 .Number("version", static_cast<std::int64_t>(
-                                        in_force_->Version().revision))
-                 .Flag("is_fresh", is_fresh_));
+}
+
+// A listing at the start may be seconds old, and show backend servers that have
+// left meanwhile as available.
+void catalog_control::UpdateServing(time_point now) {
+  UpdateFreshness(now);
+  const bool is_confirmed = is_fresh_ || HasConfirmingPeer() ||
+                            now - started_at_ > kConfirmationTimeout;
+  if (is_serving_ || in_force_ == nullptr || !is_confirmed) {
+    return;
   }
+  is_serving_ = true;
+  log_.Add(log_line{"serving"}
+               .Number("version",
+                       static_cast<std::int64_t>(in_force_->Version().revision))
+               .Flag("is_fresh", is_fresh_));
 }
 
 void catalog_control::UpdateFreshness(time_point now) {
@@ -379,7 +385,8 @@
 }
 
 void catalog_control::PublishIfChanged() {
-  if (!is_snapshot_due_ || in_force_ == nullptr) {
+  UpdateServing(clock_.Now());
+  if (!is_snapshot_due_ || !is_serving_) {
     return;
   }
   is_snapshot_due_ = false;
--- a/Libraries/LibNode/catalog_control.h
+++ b/Libraries/LibNode/catalog_control.h
@@ -31,7 +31,7 @@
 /// I/O itself.
 class catalog_control final : public peer_listener {
  public:
-  /// Called with each new routing snapshot.
+  /// Called with each new routing snapshot, from the time on when IsServing().
   using snapshot_publisher =
       std::function<void(std::shared_ptr<const routing_snapshot>)>;
 
@@ -95,6 +95,8 @@
   struct peer_progress {
     catalog_position position;      ///< Of its catalog; revision 0 if unknown.
     bool is_in_own_domain = false;  ///< In this node's failure domain.
+    /// It has held the platform's newest state at some time.
+    bool has_been_fresh = false;
     time_point ahead_since{};  ///< Since when its catalog is newer than this
                                ///< node's; zero while it is not.
   };
@@ -113,6 +115,8 @@
   void ApplyUpstreams();
   void PublishIfChanged();
   void UpdateFreshness(time_point now);
+  void UpdateServing(time_point now);
+  bool HasConfirmingPeer() const;
   void ChoosePeers();
   void SendToPeers(time_point now);
   void RequestMissingChanges(time_point now);
--- a/Libraries/LibNode/catalog_control_peers.cc
+++ b/Libraries/LibNode/catalog_control_peers.cc
@@ -135,6 +135,15 @@
   }
 }
 
+// Whether a peer holds the same state that doesn't come from a listing alone.
+// While the platform is unavailable, nobody knows a newer one.
+bool catalog_control::HasConfirmingPeer() const {
+  return std::any_of(peers_.begin(), peers_.end(), [this](const auto& peer) {
+    return peer.second.has_been_fresh &&
+           peer.second.position == catalog_.Position();
+  });
+}
+
 // The changes that a node at `known` lacks; everything if it is in another era.
 catalog_update catalog_control::UpdateFor(catalog_position known) const {
   const bool is_same_era = known.era == catalog_.Position().era;
@@ -197,8 +206,10 @@
   log_.Add(log_line{"peer-up"}.Text("peer", peer_vm));
   const bool is_in_own_domain =
       hello.sender.failure_domain == settings_.failure_domain;
-  peers_[peer_vm] = {
-      .position = {}, .is_in_own_domain = is_in_own_domain, .ahead_since = {}};
+  peers_[peer_vm] = {.position = {},
+                     .is_in_own_domain = is_in_own_domain,
+                     .has_been_fresh = false,
+                     .ahead_since = {}};
   SendState(peer_vm, is_in_own_domain);
 }
 
@@ -225,6 +236,7 @@
                              const catalog_state_message& state) {
   peer_progress& progress = peers_[peer_vm];
   progress.position = {state.era, state.complete_to};
+  progress.has_been_fresh |= state.source_age < kUnknownSourceAge;
   if (progress.is_in_own_domain &&
       ranking_.RecordFastVms(peer_vm, state.fast_vms)) {
     is_peer_choice_due_ = true;
@@ -272,6 +284,7 @@
   peer_progress& progress = peers_[peer_vm];
   const catalog_position sent_position = sent.update.Position();
   progress.position = std::max(progress.position, sent_position);
+  progress.has_been_fresh |= sent.source_age < kUnknownSourceAge;
   const catalog_position before = catalog_.Position();
   const bool has_gap =
       sent.update.after > 0 &&
--- a/Tests/LibNode/test_catalog_control.cc
+++ b/Tests/LibNode/test_catalog_control.cc
@@ -99,23 +99,8 @@
   return settings;
 }
 
-// A node that has listed era 4 up to revision 20: configuration 7, its own
-// upstream i-1, i-2 and i-3, of which i-3 is leaving.
-struct control_fixture {
-  control_fixture() {
-    control.SetLinkHub(hub);
-    Step(0ms);
-    AnswerListing({20,
-                   {Entry("op", 10, "7"), Entry("s/i-1", 11, "10.0.0.1 ready"),
-                    Entry("s/i-2", 12, "10.0.0.2 ready"),
-                    Entry("s/i-3", 13, "10.0.0.3 draining")},
-                   false,
-                   4});
-    for (int tick = 0; tick < 10; ++tick) {
-      Step(100ms);
-    }
-  }
-
+// A node, and what it calls.
+struct control_parts {
   void Step(duration span) {
     clock.Advance(span);
     control.Tick();
@@ -162,6 +147,26 @@
                           1};
 };
 
+// A node that has listed era 4 up to revision 20: configuration 7, its own
+// upstream i-1, i-2 and i-3, of which i-3 is leaving.
+struct control_fixture : control_parts {
+  control_fixture() {
+    control.SetLinkHub(hub);
+    Step(0ms);
+    AnswerListing({20,
+                   {Entry("op", 10, "7"), Entry("s/i-1", 11, "10.0.0.1 ready"),
+                    Entry("s/i-2", 12, "10.0.0.2 ready"),
+                    Entry("s/i-3", 13, "10.0.0.3 draining")},
+                   false,
+                   4});
+    BOOST_REQUIRE(published == nullptr);
+    for (int tick = 0; tick < 12; ++tick) {
+      Step(100ms);
+    }
+    BOOST_REQUIRE(control.IsServing());
+  }
+};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(catalog_control_suite, control_fixture)
@@ -279,4 +284,65 @@
 
 BOOST_AUTO_TEST_SUITE_END()
 
+// A node that starts again: its first listing may be seconds old and show i-2
+// as available, which has left since.
+struct starting_fixture : control_parts {
+  starting_fixture() {
+    control.SetLinkHub(hub);
+    Step(0ms);
+    AnswerListing({20,
+                   {Entry("op", 10, "7"), Entry("s/i-1", 11, "10.0.0.1 ready"),
+                    Entry("s/i-2", 12, "10.0.0.2 ready")},
+                   false,
+                   4});
+    hello_message hello;
+    hello.sender.vm = "10.0.0.2";
+    hello.sender.failure_domain = "hall";
+    control.OnPeerUp("10.0.0.2", hello);
+  }
+};
+
+BOOST_FIXTURE_TEST_SUITE(starting_control_suite, starting_fixture)
+
+BOOST_AUTO_TEST_CASE(AStartUsesNoUpstreamThatAnOldListingShows) {
+  Step(100ms);
+  // The peer has started as well, and knows no more.
+  control.OnPeerMessage("10.0.0.2",
+                        catalog_state_message{20, kUnknownSourceAge, {}, 4});
+  Step(100ms);
+  BOOST_TEST(published == nullptr);
+  control.OnPeerMessage(
+      "10.0.0.2",
+      catalog_update_message{
+          {20, 23, {Entry("s/i-2", 22, "10.0.0.2 draining")}, 4}, 50ms});
+  BOOST_REQUIRE(published != nullptr);
+  BOOST_TEST(Available() == "i-1 ");
+}
+
+// In an outage the peer's state is old, but nobody has a newer one.
+BOOST_AUTO_TEST_CASE(APeerInTheSameStateIsEnoughInAnOutage) {
+  control.OnPeerMessage("10.0.0.2", catalog_state_message{20, 9s, {}, 4});
+  Step(100ms);
+  BOOST_REQUIRE(published != nullptr);
+  BOOST_TEST(Available() == "i-1 i-2 ");
+}
+
+BOOST_AUTO_TEST_CASE(AStartWithoutAnyConfirmationServesAfterABoundedWait) {
+  for (int tick = 0; tick < 4; ++tick) {
+    Step(100ms);
+  }
+  BOOST_TEST(published == nullptr);
+  // The watch that it then makes is refused.
+  for (int tick = 0; tick < 12; ++tick) {
+    if (source.watch != nullptr) {
+      std::exchange(source.watch,
+                    nullptr)(Fail(error_kind::kUnavailable, "refused"));
+    }
+    Step(100ms);
+  }
+  BOOST_TEST(published != nullptr);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
 }  // namespace wagtailmount
