--- a/Programs/wagtailmountd/main.cc
+++ b/Programs/wagtailmountd/main.cc
@@ -1,6 +1,7 @@
 // The node: one small process on each backend server VM.
 
 #include <glog/logging.h>
+#include <cstdlib>
 
 #include <boost/program_options.hpp>
 #include <fstream>
@@ -103,7 +104,10 @@
     std::cerr << "wagtailmountd: " << created.error().message << "\n";
     return kExitFailed;
   }
-  return (*created)->Run() ? kExitClean : kExitFailed;
+  const bool is_clean = (*created)->Run();
+  // Without destructors: closing thousands of connections one by one takes a
+  // process on a tenth of a core longer than the rest of its grace period.
+  std::quick_exit(is_clean ? kExitClean : kExitFailed);
 }
 
 int RunNode(const wagtailmount::node_settings& settings) {
