--- a/Libraries/LibTraffic/http_connection.cc
+++ b/Libraries/LibTraffic/http_connection.cc
@@ -6,10 +6,10 @@
 
 namespace {
 
-bool IsReadyFor(int events, int socket) {
+bool IsReadyFor(decltype(pollfd::events) events, int socket) {
   pollfd polled{};
   polled.fd = socket;
-  polled.events = static_cast<short>(events);
+  polled.events = events;
   return ::poll(&polled, 1, 0) != 0;
 }
 
