LibTraffic: Log what a backend server states about itself

No log or metric said that a backend server names a rate limit or states that it leaves, when its owner learned it and how many requests the owner started then.

Ruled out: a line per answer; it would cost processor time on VMs with a tenth of a core. A line on each change and one a second of the requests started while a limit is named are enough to tell a limit that is not heeded from one that others go past.

Change: two header fields are read (platform/ names them), remembered by the backend server's id (LibLoad/statement_memory) and logged; a counter of the requests started under a limit. Nothing decides by it yet.

Measured: TestLibLoad with 6 new cases and TestLibTrafficPath pass.

--- a/Libraries/LibNode/metrics_text.cc
+++ b/Libraries/LibNode/metrics_text.cc
@@ -12,7 +12,7 @@
   std::uint64_t traffic_counters::*value;
 };
 
-constexpr std::array<named_counter, 14> kTrafficCounters{{
+constexpr std::array<named_counter, 15> kTrafficCounters{{
     {"requests_total", &traffic_counters::requests},
     {"answered_ran_total", &traffic_counters::answered_ran},
     {"answered_may_have_run_total", &traffic_counters::answered_may_have_run},
@@ -22,6 +22,7 @@
     {"retries_total", &traffic_counters::retries},
     {"retries_over_budget_total", &traffic_counters::retries_over_budget},
     {"owner_admitted_total", &traffic_counters::owner_admitted},
+    {"owner_admitted_limited_total", &traffic_counters::owner_admitted_limited},
     {"owner_refused_total", &traffic_counters::owner_refused},
     {"late_answers_dropped_total", &traffic_counters::late_answers_dropped},
     {"closed_crowded_total", &traffic_counters::closed_crowded},
--- a/Libraries/LibNode/traffic_report.cc
+++ b/Libraries/LibNode/traffic_report.cc
@@ -37,6 +37,7 @@
           {"retries", counters.retries},
           {"retries_over_budget", counters.retries_over_budget},
           {"owner_admitted", counters.owner_admitted},
+          {"owner_admitted_limited", counters.owner_admitted_limited},
           {"owner_refused", counters.owner_refused},
           {"late_answers_dropped", counters.late_answers_dropped},
           {"in_flight", counters.in_flight}};
--- /dev/null
+++ b/Libraries/LibTraffic/backend_statements.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <mutex>
+#include <optional>
+#include <string_view>
+
+#include "LibLoad/statement_memory.h"
+#include "LibLog/structured_log.h"
+#include "LibTraffic/http_types.h"
+#include "LibTraffic/request_fields.h"
+
+namespace wagtailmount::detail {
+
+/// Reads what the backend server that sent `answer` states about itself. What
+/// is not proved to come from the backend server that was meant, such as a
+/// refusal as misdirected, states nothing.
+backend_statement ReadStatement(const http_response& answer,
+                                const request_fields& fields);
+
+/// What backend servers stated about themselves, shared by all traffic threads.
+class backend_statements {
+ public:
+  /// `log` may be null; it must outlive this object, as must `clock`.
+  backend_statements(const runtime_clock& clock, structured_log* log)
+      : clock_(clock), log_(log) {}
+
+  /// Records a statement; see statement_memory::Record().
+  void Record(time_point asked_at, std::string_view id,
+              const backend_statement& statement);
+
+  /// Logs how many requests were started at a backend server that names a rate
+  /// limit, at most once a second. `total` counts all that were ever started.
+  void LogStarts(std::string_view id, std::uint64_t total);
+
+  /// The rate limit that the backend server names; none if it names none.
+  std::optional<double> RateLimitOf(std::string_view id) const;
+
+  /// Since when the backend server states that it leaves; zero if it does not.
+  time_point LeavingSince(std::string_view id) const;
+
+ private:
+  std::optional<statement_memory::record> Find(std::string_view id) const;
+  void Log(std::string_view id, const backend_statement& statement,
+           statement_memory::change changed) const;
+
+  const runtime_clock& clock_;
+  structured_log* const log_;
+  mutable std::mutex mutex_;
+  statement_memory memory_;
+  std::uint64_t total_at_last_log_ = 0;
+  time_point last_log_{};
+  /// Spares the requests of a quiet time the lock.
+  std::atomic<bool> is_empty_{true};
+};
+
+}  // namespace wagtailmount::detail
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -119,6 +119,21 @@
   state.log->Add(std::move(line));
 }
 
+// Records what the backend server states about itself in its answer to a
+// request that was sent at `asked_at`.
+void RecordStatement(traffic_state& state, const owner_request& incoming,
+                     const attempt_result& result, time_point asked_at) {
+  if (!result.answer) {
+    return;
+  }
+  const request_fields& fields = state.settings.fields;
+  const std::string_view id =
+      FieldOf(incoming.request.message, fields.expected_backend_server);
+  state.statements.Record(asked_at, id,
+                          ReadStatement(result.answer->message, fields));
+  state.statements.LogStarts(id, state.counters.owner_admitted);
+}
+
 // Since when the backend server of this VM has been leaving, by the newest
 // snapshot; zero if it is not.
 time_point LeavingSince(const traffic_state& state) {
@@ -168,6 +183,10 @@
   const time_point now = state.clock.Now();
   ++state.counters.owner_admitted;
   const request_fields& fields = state.settings.fields;
+  if (state.statements.RateLimitOf(
+          FieldOf(incoming.request.message, fields.expected_backend_server))) {
+    ++state.counters.owner_admitted_limited;
+  }
   PrepareForBackendServer(incoming.request.message, fields.backend_deadline,
                           incoming.deadline, now);
   attempt_result result = co_await Exchange(
@@ -175,6 +194,7 @@
       {.id = request_id_rule::kOptional,
        .may_end_with_connection = fields.may_end_with_connection},
       incoming.watch);
+  RecordStatement(state, incoming, result, now);
   if (connection != nullptr) {
     KeepConnection(worker, std::move(connection));
   }
--- a/Libraries/LibTraffic/request_fields.h
+++ b/Libraries/LibTraffic/request_fields.h
@@ -23,6 +23,13 @@
   /// In a backend server's answer: proves that the backend server sent it. A
   /// success without it is treated as malformed.
   std::string_view proof_of_origin;
+  /// In a backend server's answer: how many requests a second it takes from all
+  /// nodes together, for as long as its answers say so.
+  std::string_view rate_limit = "X-Backend-Rate-Limit";
+  /// In a backend server's answer: it leaves, and is to be given no new work.
+  /// Takes effect only where backend servers have ids, since these tell one
+  /// start of a backend server from the next.
+  std::string_view leaving = "X-Backend-Leaving";
   /// Whether a backend server's answer may have no length and end when the
   /// connection is closed. A reset counts as truncation.
   bool may_end_with_connection = false;
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -48,7 +48,9 @@
   std::uint64_t retries = 0;
   std::uint64_t retries_over_budget = 0;
   std::uint64_t owner_admitted = 0;  ///< Started at this VM's backend server.
-  std::uint64_t owner_refused = 0;   ///< Refused: draining, full or too late.
+  /// Those of them started while the backend server named a rate limit.
+  std::uint64_t owner_admitted_limited = 0;
+  std::uint64_t owner_refused = 0;  ///< Refused: draining, full or too late.
   std::uint64_t late_answers_dropped = 0;
   /// Kept connections of callers ended early, to save descriptors.
   std::uint64_t closed_crowded = 0;
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -12,6 +12,7 @@
 #include "LibLoad/retry_budget.h"
 #include "LibRouting/exchange_sizes.h"
 #include "LibTraffic/backend_gate.h"
+#include "LibTraffic/backend_statements.h"
 #include "LibTraffic/connection_pool.h"
 #include "LibTraffic/decision_log.h"
 #include "LibTraffic/service_statistics.h"
@@ -30,6 +31,7 @@
   std::atomic<std::uint64_t> retries{0};
   std::atomic<std::uint64_t> retries_over_budget{0};
   std::atomic<std::uint64_t> owner_admitted{0};
+  std::atomic<std::uint64_t> owner_admitted_limited{0};
   std::atomic<std::uint64_t> owner_refused{0};
   std::atomic<std::uint64_t> late_answers_dropped{0};
   std::atomic<std::uint64_t> closed_crowded{0};
@@ -60,7 +62,8 @@
       : settings(server_settings),
         clock(server_clock),
         log(server_log),
-        gate(server_clock) {}
+        gate(server_clock),
+        statements(server_clock, server_log) {}
 
   const traffic_settings settings;
   const runtime_clock& clock;
@@ -94,6 +97,7 @@
   service_statistics statistics;
   decision_log decisions;
   backend_gate gate;
+  backend_statements statements;
 };
 
 /// One traffic thread's state for one service.
