LibLoad: Keep to the rate limit that a backend server names

Cause: the header field was forwarded to callers and read by nobody. The class: a backend server says something of itself in its answers, which pass through its owner, and the owner decides without it.

Ruled out: requests that go past the owner, and a limit kept by each node for itself.

Change: the owner's admission has a token bucket beside the slots (LibLoad/rate_limiter). A queued request starts when there are a slot and a token; the expected wait covers both, so that what can't start in time is refused at once, and the reported load shows both. A start that is called off before anything is sent gives its token back. Why it works: the owner is the only process that sends to its backend server, so no other node needs to know the limit.

--- a/Libraries/LibLoad/admission_controller.cc
+++ b/Libraries/LibLoad/admission_controller.cc
@@ -1,6 +1,7 @@
 #include "LibLoad/admission_controller.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "LibRouting/timely_wait.h"
 
@@ -67,29 +68,36 @@
   return found == mean_duration_of_rank_.end() ? mean_duration_ : found->second;
 }
 
-duration admission_controller::ExpectedWait(queue_key key) const {
-  if (running_.size() < Slots() && Queued() == 0) {
-    return duration::zero();
-  }
+duration admission_controller::ExpectedWait(time_point now,
+                                            queue_key key) const {
   duration work = mean_duration_;
+  std::size_t ahead = 0;
   for (const auto& [other, queue] : waiting_) {
     if (other <= key) {
       work +=
           MeanDuration(other.rank) * static_cast<std::int64_t>(queue.size());
+      ahead += queue.size();
     }
   }
-  return work / static_cast<std::int64_t>(std::max<std::size_t>(1, Slots()));
+  const duration wait_for_rate = rate_.TimeUntil(now, ahead + 1);
+  if (running_.size() < Slots() && (Queued() == 0 || rate_.Rate())) {
+    return wait_for_rate;
+  }
+  const duration wait_for_slot =
+      work / static_cast<std::int64_t>(std::max<std::size_t>(1, Slots()));
+  return std::max(wait_for_slot, wait_for_rate);
 }
 
 admission_reply admission_controller::Arrive(time_point now,
                                              const arriving_request& arriving) {
   admission_reply reply;
   RefuseExpired(now, reply.effects);
+  StartQueued(now, reply.effects);
   if (arriving.deadline <= now) {
     reply.refused = refusal_cause::kTooLate;
     return reply;
   }
-  if (running_.size() < Slots() && Queued() == 0) {
+  if (running_.size() < Slots() && Queued() == 0 && rate_.TryTake(now)) {
     reply.decided = admission_reply::kind::kStart;
     reply.id = ++last_id_;
     running_.emplace(reply.id, running_request{now, arriving.rank});
@@ -104,7 +112,7 @@
   const duration longest_wait =
       allows_long_wait ? (arriving.deadline - now) / kLongLateWaitDivisor
                        : LongestWait(now, arriving, service);
-  if (ExpectedWait(key) >= longest_wait) {
+  if (ExpectedWait(now, key) >= longest_wait) {
     reply.refused = arriving.objective == time_point{}
                         ? refusal_cause::kTooLate
                         : refusal_cause::kOverloaded;
@@ -152,11 +160,39 @@
   }
   running_.erase(found);
   RefuseExpired(now, effects);
-  while (running_.size() < Slots() && StartNext(now, effects)) {
+  StartQueued(now, effects);
+  return effects;
+}
+
+std::vector<admission_effect> admission_controller::Cancel(time_point now,
+                                                           admission_id id) {
+  if (running_.contains(id)) {
+    rate_.Return();
   }
+  return Finish(now, id, false);
+}
+
+std::vector<admission_effect> admission_controller::Advance(time_point now) {
+  std::vector<admission_effect> effects;
+  RefuseExpired(now, effects);
+  StartQueued(now, effects);
   return effects;
 }
 
+std::vector<admission_effect> admission_controller::SetRateLimit(
+    time_point now, std::optional<double> requests_a_second) {
+  rate_.SetRate(now, requests_a_second);
+  return Advance(now);
+}
+
+std::optional<time_point> admission_controller::NextStart(
+    time_point now) const {
+  if (Queued() == 0 || running_.size() >= Slots()) {
+    return std::nullopt;
+  }
+  return now + rate_.TimeUntil(now, 1);
+}
+
 bool admission_controller::Withdraw(admission_id id) {
   std::size_t count = 0;
   for (auto& [key, queue] : waiting_) {
@@ -186,7 +222,14 @@
   }
 }
 
-bool admission_controller::StartNext(time_point now,
+void admission_controller::StartQueued(time_point now,
+                                       std::vector<admission_effect>& effects) {
+  while (Queued() > 0 && running_.size() < Slots() && rate_.TryTake(now)) {
+    StartNext(now, effects);
+  }
+}
+
+void admission_controller::StartNext(time_point now,
                                      std::vector<admission_effect>& effects) {
   for (auto& [key, queue] : waiting_) {
     if (queue.empty()) {
@@ -197,9 +240,8 @@
     running_.emplace(id, running_request{now, key.rank});
     effects.push_back({id, refusal_cause::kNone});
     CountLateOutcome(key, true);
-    return true;
+    return;
   }
-  return false;
 }
 
 // Starts at 1, so that the first late requests may use the longer wait.
@@ -220,9 +262,22 @@
   UpdateMean(mean_duration_of_rank_[rank], taken);
 }
 
-owner_load admission_controller::Load(request_priority rank) const {
-  return {ExpectedWait({rank, false}), MeanDuration(rank),
-          static_cast<std::uint32_t>(Slots()), duration::zero()};
+owner_load admission_controller::Load(time_point now,
+                                      request_priority rank) const {
+  return {ExpectedWait(now, {rank, false}), MeanDuration(rank),
+          static_cast<std::uint32_t>(UsableSlots()), duration::zero()};
+}
+
+// At a limited rate, no more requests run at the same time than arrive within
+// the time that one takes.
+std::size_t admission_controller::UsableSlots() const {
+  if (!rate_.Rate()) {
+    return Slots();
+  }
+  const double running = std::ceil(*rate_.Rate() * SecondsOf(mean_duration_));
+  return std::clamp<std::size_t>(
+      static_cast<std::size_t>(std::min(running, 1.0 * Slots())), 1,
+      std::max<std::size_t>(1, Slots()));
 }
 
 }  // namespace wagtailmount
--- a/Libraries/LibLoad/admission_controller.h
+++ b/Libraries/LibLoad/admission_controller.h
@@ -5,11 +5,13 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "LibBase/clock.h"
 #include "LibConfig/configuration.h"
 #include "LibLoad/attempt_outcome.h"
+#include "LibLoad/rate_limiter.h"
 
 namespace wagtailmount {
 
@@ -63,7 +65,8 @@
 bool IsLate(time_point now, const arriving_request& arriving, duration service);
 
 /// Decides, at the owner of one backend server, which requests start, wait or
-/// are refused. A request starts only if a slot is free. Lower ranks start
+/// are refused. A request starts only if a slot is free and the rate that the
+/// backend server takes allows it. Lower ranks start
 /// first; within a rank, requests that can still meet their objective start
 /// before late ones, and otherwise in the order of arrival. A request waits no
 /// longer than LongestWait(), or, if it is late while most late requests of its
@@ -75,6 +78,8 @@
 ///   another upstream;
 /// - an upstream that slows down: its service time is measured, and it accepts
 ///   fewer requests;
+/// - a backend server that names a rate limit: the requests that can start in
+///   time wait for their turn, and the rest is refused at once;
 /// - retries past their objective while new requests fill the slots: they get
 ///   only the slots that new requests leave idle, so that a late request
 ///   doesn't make the next one late too.
@@ -84,6 +89,11 @@
   /// continue.
   void SetLimits(const upstream_limits& limits) { limits_ = limits; }
 
+  /// Sets how many requests a second the backend server takes; none if it names
+  /// no limit. Returns which queued requests start or are refused.
+  std::vector<admission_effect> SetRateLimit(
+      time_point now, std::optional<double> requests_a_second);
+
   /// Starts, queues or refuses a request.
   admission_reply Arrive(time_point now, const arriving_request& arriving);
   admission_reply Arrive(time_point now, time_point deadline,
@@ -97,12 +107,25 @@
   std::vector<admission_effect> Finish(time_point now, admission_id id,
                                        bool has_run = true);
 
+  /// Ends a started request that was not sent to the backend server and returns
+  /// which queued ones start or are refused. It does not count towards the rate
+  /// limit.
+  std::vector<admission_effect> Cancel(time_point now, admission_id id);
+
+  /// Returns which queued requests start or are refused only because time has
+  /// passed.
+  std::vector<admission_effect> Advance(time_point now);
+
+  /// When Advance() can start the next queued request by the rate limit; none
+  /// if it waits for a slot, or nothing is queued.
+  std::optional<time_point> NextStart(time_point now) const;
+
   /// Removes a queued request. Returns false if it is not queued any more
   /// because it was started or refused.
   bool Withdraw(admission_id id);
 
   /// Returns the reported load for requests of `rank`; `held` is zero.
-  owner_load Load(request_priority rank) const;
+  owner_load Load(time_point now, request_priority rank) const;
 
   std::size_t Running() const { return running_.size(); }
   std::size_t Queued() const;
@@ -128,17 +151,20 @@
   };
 
   std::size_t Slots() const;
+  std::size_t UsableSlots() const;
   void RefuseExpired(time_point now, std::vector<admission_effect>& effects);
-  bool StartNext(time_point now, std::vector<admission_effect>& effects);
+  void StartQueued(time_point now, std::vector<admission_effect>& effects);
+  void StartNext(time_point now, std::vector<admission_effect>& effects);
   bool EvictFromLaterQueue(queue_key key,
                            std::vector<admission_effect>& effects);
-  duration ExpectedWait(queue_key key) const;
+  duration ExpectedWait(time_point now, queue_key key) const;
   duration MeanDuration(request_priority rank) const;
   double& StartedShareOfLate(request_priority rank);
   void CountLateOutcome(queue_key key, bool is_started);
   void RecordDuration(request_priority rank, duration taken);
 
   upstream_limits limits_;
+  rate_limiter rate_;
   admission_id last_id_ = 0;
   std::map<admission_id, running_request> running_;
   std::map<queue_key, std::deque<waiting_request>> waiting_;
--- a/Libraries/LibTraffic/backend_gate.cc
+++ b/Libraries/LibTraffic/backend_gate.cc
@@ -7,7 +7,7 @@
 
 backend_slot::~backend_slot() {
   if (gate_ != nullptr) {
-    gate_->ReleaseSlot(id_, has_run_);
+    gate_->ReleaseSlot(id_, use_);
   }
 }
 
@@ -21,6 +21,15 @@
   maximum_idle_connections_ = std::max(0, spare);
 }
 
+void backend_gate::SetRateLimit(std::optional<double> requests_a_second) {
+  const std::lock_guard lock{mutex_};
+  if (rate_limit_ != requests_a_second) {
+    rate_limit_ = requests_a_second;
+    ApplyEffects(admission_.SetRateLimit(clock_.Now(), requests_a_second));
+    WakeForNextStart();
+  }
+}
+
 idle_connection_permit backend_gate::TryAcquireIdlePermit() {
   if (++idle_connections_ <= maximum_idle_connections_) {
     return idle_connection_permit{idle_connections_};
@@ -31,7 +40,7 @@
 
 owner_load backend_gate::Load(request_priority rank) const {
   const std::lock_guard lock{mutex_};
-  return admission_.Load(rank);
+  return admission_.Load(clock_.Now(), rank);
 }
 
 task<slot_result> backend_gate::AcquireSlot(arriving_request arriving) {
@@ -41,11 +50,12 @@
   {
     const std::lock_guard lock{mutex_};
     reply = admission_.Arrive(clock_.Now(), arriving);
-    ApplyEffects(reply.effects);
     if (reply.decided == admission_reply::kind::kQueued) {
       waiting = std::make_shared<waiter>(executor);
       waiters_.emplace(reply.id, waiting);
     }
+    ApplyEffects(reply.effects);
+    WakeForNextStart();
   }
   slot_result acquired;
   if (reply.decided == admission_reply::kind::kRefused) {
@@ -61,19 +71,28 @@
 task<slot_result> backend_gate::Wait(admission_id id,
                                      std::shared_ptr<waiter> waiting,
                                      time_point start_by) {
-  waiting->timer.expires_after(start_by - clock_.Now());
   while (true) {
     {
       const std::lock_guard lock{mutex_};
-      if (!waiting->is_decided && clock_.Now() >= start_by &&
-          admission_.Withdraw(id)) {
+      const time_point now = clock_.Now();
+      if (!waiting->is_decided && now >= start_by && admission_.Withdraw(id)) {
         waiting->is_decided = true;
         waiting->refused = refusal_cause::kOverloaded;
         waiters_.erase(id);
       }
+      if (!waiting->is_decided && rate_limit_) {
+        ApplyEffects(admission_.Advance(now));
+      }
       if (waiting->is_decided) {
+        WakeForNextStart();
         break;
       }
+      time_point wake_at = start_by;
+      if (rate_limit_ && waiters_.begin()->second == waiting) {
+        wake_at =
+            std::min(wake_at, admission_.NextStart(now).value_or(wake_at));
+      }
+      waiting->timer.expires_after(wake_at - now);
     }
     error_code ignored;
     co_await waiting->timer.async_wait(ReportTo(ignored));
@@ -86,9 +105,13 @@
   co_return acquired;
 }
 
-void backend_gate::ReleaseSlot(admission_id id, bool has_run) {
+void backend_gate::ReleaseSlot(admission_id id, slot_use use) {
   const std::lock_guard lock{mutex_};
-  ApplyEffects(admission_.Finish(clock_.Now(), id, has_run));
+  const time_point now = clock_.Now();
+  ApplyEffects(use == slot_use::kNotSent
+                   ? admission_.Cancel(now, id)
+                   : admission_.Finish(now, id, use == slot_use::kRan));
+  WakeForNextStart();
 }
 
 void backend_gate::ApplyEffects(std::span<const admission_effect> effects) {
@@ -101,9 +124,21 @@
     waiters_.erase(found);
     waiting->is_decided = true;
     waiting->refused = effect.refused;
-    // Timers are not thread-safe: cancel on the waiting request's own thread.
-    boost::asio::post(waiting->timer.get_executor(),
-                      [waiting] { waiting->timer.cancel(); });
+    Wake(waiting);
+  }
+}
+
+// Timers are not thread-safe: cancels on the waiting request's own thread.
+void backend_gate::Wake(const std::shared_ptr<waiter>& waiting) {
+  boost::asio::post(waiting->timer.get_executor(),
+                    [waiting] { waiting->timer.cancel(); });
+}
+
+// Only a rate limit starts requests as time passes. Lets the first waiting
+// request set its timer anew, for the next start may have changed.
+void backend_gate::WakeForNextStart() {
+  if (rate_limit_ && !waiters_.empty()) {
+    Wake(waiters_.begin()->second);
   }
 }
 
--- a/Libraries/LibTraffic/backend_gate.h
+++ b/Libraries/LibTraffic/backend_gate.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <span>
 
 #include "LibLoad/admission_controller.h"
@@ -16,6 +17,13 @@
 
 class backend_gate;
 
+/// What became of a request that was granted a slot.
+enum class slot_use : std::uint8_t {
+  kRan,      ///< The backend server completed it.
+  kNotRun,   ///< Sent, but not completed: its duration is not learned.
+  kNotSent,  ///< Called off before anything was sent.
+};
+
 /// Permission to run one request at the backend server; the destructor releases
 /// it. Movable.
 class backend_slot {
@@ -25,25 +33,24 @@
   backend_slot(backend_slot&& other) noexcept
       : gate_(std::exchange(other.gate_, nullptr)),
         id_(other.id_),
-        has_run_(other.has_run_) {}
+        use_(other.use_) {}
   backend_slot& operator=(backend_slot&& other) noexcept {
     std::swap(gate_, other.gate_);
     std::swap(id_, other.id_);
-    std::swap(has_run_, other.has_run_);
+    std::swap(use_, other.use_);
     return *this;
   }
   backend_slot(const backend_slot&) = delete;
   backend_slot& operator=(const backend_slot&) = delete;
   ~backend_slot();
 
-  /// Marks the request as not completed by the backend server, so that its
-  /// duration is not learned.
-  void SetNotRun() { has_run_ = false; }
+  /// States what became of the request; kRan unless this is called.
+  void SetUse(slot_use use) { use_ = use; }
 
  private:
   backend_gate* gate_ = nullptr;
   admission_id id_ = 0;
-  bool has_run_ = true;
+  slot_use use_ = slot_use::kRan;
 };
 
 /// A slot, or the reason why none was granted.
@@ -53,14 +60,18 @@
 };
 
 /// Limits the number of requests that run at this VM's backend server at the
-/// same time; the admission policy queues or refuses the others. Shared by all
-/// traffic threads; must outlive their io_contexts.
+/// same time, and how many start in a second if it names a rate limit; the
+/// admission policy queues or refuses the others. Shared by all traffic
+/// threads; must outlive their io_contexts.
 class backend_gate {
  public:
   explicit backend_gate(const runtime_clock& clock) : clock_(clock) {}
 
   void SetLimits(const upstream_limits& limits);
 
+  /// Applies the rate limit that the backend server names; none lifts it.
+  void SetRateLimit(std::optional<double> requests_a_second);
+
   /// Waits for a slot, for at most as long as the admission policy allows.
   task<slot_result> AcquireSlot(arriving_request arriving);
 
@@ -68,7 +79,7 @@
   owner_load Load(request_priority rank) const;
 
   /// Releases a slot. Called by backend_slot only.
-  void ReleaseSlot(admission_id id, bool has_run);
+  void ReleaseSlot(admission_id id, slot_use use);
 
   /// A permit to keep one more idle connection to the backend server, or an
   /// empty one. Idle connections are counted over all threads, so that idle and
@@ -85,12 +96,17 @@
   };
 
   void ApplyEffects(std::span<const admission_effect> effects);
+  static void Wake(const std::shared_ptr<waiter>& waiting);
+  void WakeForNextStart();
   task<slot_result> Wait(admission_id id, std::shared_ptr<waiter> waiting,
                          time_point start_by);
 
   const runtime_clock& clock_;
   mutable std::mutex mutex_;
   admission_controller admission_;
+  std::optional<double> rate_limit_;
+  /// The first of them also wakes up when the rate limit lets the next queued
+  /// request start, whichever that is.
   std::map<admission_id, std::shared_ptr<waiter>> waiters_;
   std::atomic<int> idle_connections_{0};
   std::atomic<int> maximum_idle_connections_{0};
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -132,6 +132,7 @@
   state.statements.Record(asked_at, id,
                           ReadStatement(result.answer->message, fields));
   state.statements.LogStarts(id, state.counters.owner_admitted);
+  state.gate.SetRateLimit(state.statements.RateLimitOf(id));
 }
 
 // Since when the backend server of this VM has been leaving, by the newest
@@ -162,7 +163,7 @@
   if (acquired.refused == refusal_cause::kNone) {
     connection = co_await ConnectionToBackendServer(worker, incoming);
     if (connection == nullptr) {
-      acquired.slot.SetNotRun();
+      acquired.slot.SetUse(slot_use::kNotSent);
       attempt_result unreachable;
       unreachable.cause = refusal_cause::kUnreachable;
       co_return unreachable;
@@ -172,7 +173,7 @@
     acquired.refused = CauseNotToStartNow(state, incoming);
   }
   if (acquired.refused != refusal_cause::kNone) {
-    acquired.slot.SetNotRun();
+    acquired.slot.SetUse(slot_use::kNotSent);
     if (connection != nullptr) {
       KeepConnection(worker, std::move(connection));
     }
@@ -204,7 +205,7 @@
   CheckProofOfOrigin(result, fields.proof_of_origin);
   result.has_reached_backend_server = has_reached_backend_server;
   if (!result.answer || IsServerError(result.answer->message)) {
-    acquired.slot.SetNotRun();
+    acquired.slot.SetUse(slot_use::kNotRun);
   }
   if (result.answer) {
     RemoveHopByHopAndProjectFields(result.answer->message);
