LibTraffic: Move the exchange with an owner out of entry.cc

Ruled out: nothing; no behaviour changes.

Change: PrepareForOwner, ExtractVerdictAndLoad, RecordOwnerClock and RunAtOwner are owner_call.cc, moved as they were.

Measured: TestLibTrafficPath passes, 41 cases.

--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -4,21 +4,15 @@
 #include <string>
 #include <vector>
 
-#include "LibLoad/load_text.h"
 #include "LibLoad/retry.h"
 #include "LibTraffic/header_fields.h"
-#include "LibTraffic/hop_text.h"
 #include "LibTraffic/owner.h"
+#include "LibTraffic/owner_call.h"
 
 namespace wagtailmount::detail {
 
 namespace {
 
-// The deadline sent to an owner is earlier by this margin, at most a tenth of
-// the time left, so that the owner's refusal arrives before this node gives up.
-constexpr std::chrono::milliseconds kOwnerDeadlineMargin{10};
-constexpr int kOwnerDeadlineMarginDivisor = 10;
-constexpr std::chrono::milliseconds kMaximumHopIdle{30'000};
 // The maximum reported wait of an owner that has a free slot or is about to
 // have one.
 constexpr std::chrono::milliseconds kMaximumWaitOfLateRequest{10};
@@ -29,111 +23,6 @@
 // between two nodes, with the fields that the users' callers send.
 constexpr std::size_t kHopHeaderBytes = 600;
 
-time_point OwnerDeadline(time_point deadline, time_point now) {
-  const duration share = (deadline - now) / kOwnerDeadlineMarginDivisor;
-  return deadline - std::min<duration>(kOwnerDeadlineMargin, share);
-}
-
-void PrepareForOwner(http_request& message, const upstream& owner,
-                     const entry_request& incoming, std::uint32_t attempt,
-                     time_point now, const peer_clock& owner_clock) {
-  using std::chrono::duration_cast;
-  using std::chrono::milliseconds;
-  const time_point deadline = OwnerDeadline(incoming.deadline, now);
-  if (const auto stated = owner_clock.PeerTimeAt(deadline)) {
-    SetField(message, kOwnerDeadlineField, std::to_string(stated->count()));
-  } else {
-    message.erase(ToBoost(kOwnerDeadlineField));
-  }
-  hop_parameters parameters{
-      .vm = owner.vm,
-      .service = incoming.target.name,
-      .time_left = duration_cast<milliseconds>(deadline - now),
-      .rank = incoming.chosen_route.priority,
-      .attempt = attempt,
-      .objective_left = std::nullopt};
-  if (incoming.objective != time_point{}) {
-    parameters.objective_left =
-        duration_cast<milliseconds>(incoming.objective - now);
-  }
-  SetField(message, kHopField, FormatHopParameters(parameters));
-}
-
-// Extracts the owner's verdict and reported load from its answer.
-void ExtractVerdictAndLoad(attempt_result& result) {
-  if (!result.answer) {
-    return;
-  }
-  result.load = ParseLoad(FieldOf(result.answer->message, kLoadField));
-  const std::string_view verdict_text =
-      FieldOf(result.answer->message, kVerdictField);
-  if (verdict_text == NameOf(verdict::kRan)) {
-    RemoveHopByHopAndProjectFields(result.answer->message);
-    return;
-  }
-  result.cause = CauseOf(FieldOf(result.answer->message, kReasonField));
-  result.has_reached_backend_server =
-      !FieldOf(result.answer->message, kArrivedField).empty();
-  if (verdict_text == NameOf(verdict::kNotRun)) {
-    result.outcome = attempt_outcome::kRefusedNotRun;
-  } else if (verdict_text == NameOf(verdict::kMayHaveRun)) {
-    result.outcome = attempt_outcome::kRefusedMayHaveRun;
-  } else {
-    result.outcome = attempt_outcome::kAnswerMalformed;
-  }
-  result.answer.reset();
-}
-
-// Whether the owner may be cut off, or its connections silent.
-bool IsUnanswered(attempt_outcome outcome) {
-  return outcome == attempt_outcome::kLostWhileWriting ||
-         outcome == attempt_outcome::kLostAfterWriting ||
-         outcome == attempt_outcome::kNoAnswerInTime;
-}
-
-// Must be called before the project's fields are removed from the answer.
-void RecordOwnerClock(http_connection& connection, const attempt_result& result,
-                      time_point now) {
-  if (!result.answer) {
-    return;
-  }
-  if (const auto stated =
-          ParseNumber(FieldOf(result.answer->message, kClockField))) {
-    connection.clock.Record(now, std::chrono::milliseconds{*stated});
-  }
-}
-
-task<attempt_result> RunAtOwner(traffic_worker& worker,
-                                const entry_request& incoming,
-                                const upstream& owner, std::uint32_t attempt,
-                                disconnect_watcher& watch) {
-  const runtime_clock& clock = worker.state.clock;
-  std::unique_ptr<http_connection> connection =
-      worker.pool.Take(owner.hop, clock.Now(), kMaximumHopIdle);
-  if (connection == nullptr) {
-    const duration connect_timeout =
-        std::min<duration>(kConnectTimeout, incoming.deadline - clock.Now());
-    connection = co_await Connect(owner.hop, connect_timeout);
-  }
-  attempt_result result;
-  if (connection == nullptr) {
-    co_return result;
-  }
-  const time_point begin = clock.Now();
-  PrepareForOwner(incoming.request.message, owner, incoming, attempt, begin,
-                  connection->clock);
-  result = co_await Exchange(connection, incoming.request, incoming.deadline,
-                             clock, {.id = request_id_rule::kRequired}, watch);
-  if (connection != nullptr) {
-    RecordOwnerClock(*connection, result, clock.Now());
-    worker.pool.Keep(owner.hop, std::move(connection), clock.Now());
-  } else if (IsUnanswered(result.outcome)) {
-    worker.pool.CloseIdleSince(owner.hop, begin);
-  }
-  ExtractVerdictAndLoad(result);
-  co_return result;
-}
-
 attempt_signal SignOfRefusal(refusal_cause cause) {
   switch (cause) {
     case refusal_cause::kQueueFull:
