LibTraffic: Send nothing more to a backend server that states that it leaves

Callers would see requests cut or refused late: a backend server that leaves says so in all its answers, and nodes went on sending there until the platform told them.

Cause: the same class as the rate limit: the answers passed through entry and owner, and neither read them.

Ruled out: telling it to all nodes by their links. The owner sees every answer and stops all of them; only a node that has passed on the statement must know it by itself, since the owner may be restarted.

Change: the statement is kept by the id of the backend server's start.

--- a/Libraries/LibTraffic/answers.cc
+++ b/Libraries/LibTraffic/answers.cc
@@ -56,6 +56,9 @@
   if (refusal.has_reached_backend_server) {
     SetField(message, kArrivedField, "1");
   }
+  if (refusal.is_backend_leaving) {
+    SetField(message, kBackendLeavingField, "1");
+  }
   message.set(http::field::content_type, "text/plain");
   message.keep_alive(refusal.is_kept_alive);
   std::string text{NameOf(refusal.proved)};
--- a/Libraries/LibTraffic/backend_statements.cc
+++ b/Libraries/LibTraffic/backend_statements.cc
@@ -26,20 +26,19 @@
   return statement;
 }
 
-void backend_statements::Record(time_point asked_at, std::string_view id,
-                                const backend_statement& statement) {
+statement_memory::change backend_statements::Record(
+    time_point asked_at, std::string_view id,
+    const backend_statement& statement) {
   const bool states_nothing = !statement.rate_limit && !statement.is_leaving &&
                               !statement.is_rate_limit_malformed;
   if (states_nothing && is_empty_) {
-    return;
-  }
-  statement_memory::change changed;
-  {
-    const std::lock_guard lock{mutex_};
-    changed = memory_.Record(clock_.Now(), asked_at, id, statement);
-    is_empty_ = memory_.IsEmpty();
+    return {};
   }
-  Log(id, statement, changed);
+  const std::lock_guard lock{mutex_};
+  const statement_memory::change changed =
+      memory_.Record(clock_.Now(), asked_at, id, statement);
+  is_empty_ = memory_.IsEmpty();
+  return changed;
 }
 
 void backend_statements::LogStarts(std::string_view id, std::uint64_t total) {
--- a/Libraries/LibTraffic/backend_statements.h
+++ b/Libraries/LibTraffic/backend_statements.h
@@ -27,8 +27,12 @@
       : clock_(clock), log_(log) {}
 
   /// Records a statement; see statement_memory::Record().
-  void Record(time_point asked_at, std::string_view id,
-              const backend_statement& statement);
+  statement_memory::change Record(time_point asked_at, std::string_view id,
+                                  const backend_statement& statement);
+
+  /// Logs what a statement changed.
+  void Log(std::string_view id, const backend_statement& statement,
+           statement_memory::change changed) const;
 
   /// Logs how many requests were started at a backend server that names a rate
   /// limit, at most once a second. `total` counts all that were ever started.
@@ -42,8 +46,6 @@
 
  private:
   std::optional<statement_memory::record> Find(std::string_view id) const;
-  void Log(std::string_view id, const backend_statement& statement,
-           statement_memory::change changed) const;
 
   const runtime_clock& clock_;
   structured_log* const log_;
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -137,9 +137,13 @@
             : LongestWait(now, arriving, duration::zero());
     const placement_criteria wish{arriving.rank, longest_wait,
                                   incoming_.objective - now, ExpectedBytes()};
-    auto choice = service_state_.chooser.Choose(now, upstreams_, tried_,
-                                                target_.limits.slow_start,
-                                                worker_.random, wish);
+    auto choice = Choose(now, wish);
+    // The platform may tell a leaving late, or not at all to a node that it
+    // can't reach.
+    while (choice && IsStatedToLeave(*choice->chosen)) {
+      tried_.push_back(choice->chosen);
+      choice = Choose(now, wish);
+    }
     if (!choice && service_state_.chooser.AreAllFull()) {
       LogAllOwnersFull(now, wish, result);
       if (result.attempts == 0) {
@@ -158,6 +162,31 @@
     return choice;
   }
 
+  std::optional<upstream_choice> Choose(time_point now,
+                                        const placement_criteria& wish) {
+    return service_state_.chooser.Choose(now, upstreams_, tried_,
+                                         target_.limits.slow_start,
+                                         worker_.random, wish);
+  }
+
+  // Whether this node passed on an answer in which the backend server states
+  // that it leaves, or was told so by its owner.
+  bool IsStatedToLeave(const upstream& candidate) const {
+    return state_.statements.LeavingSince(candidate.backend_server_id) !=
+           time_point{};
+  }
+
+  void RecordStatement(const upstream& chosen, const attempt_result& ended,
+                       time_point asked_at) {
+    backend_statement statement;
+    if (ended.answer) {
+      statement = ReadStatement(ended.answer->message, state_.settings.fields);
+    } else {
+      statement.is_leaving = ended.is_backend_leaving;
+    }
+    state_.statements.Record(asked_at, chosen.backend_server_id, statement);
+  }
+
   // Bytes that one more attempt would transfer to another node and back.
   std::size_t ExpectedBytes() const {
     return kHopHeaderBytes + incoming_.request.body.size() +
@@ -190,6 +219,7 @@
     }
     const time_point end = state_.clock.Now();
     service_state_.chooser.End(end, chosen.vm, SignOf(ended), end - begin);
+    RecordStatement(chosen, ended, begin);
     if (ended.load) {
       service_state_.chooser.RecordReportedLoad(
           end, chosen.vm,
--- a/Libraries/LibTraffic/exchange.h
+++ b/Libraries/LibTraffic/exchange.h
@@ -20,6 +20,8 @@
   /// Part of the request was sent to a backend server. The backend server
   /// counts the request even if it refuses it.
   bool has_reached_backend_server = false;
+  /// Refused by an owner whose backend server states that it leaves.
+  bool is_backend_leaving = false;
   std::optional<owner_load> load;  ///< The owner's reported load.
 };
 
--- a/Libraries/LibTraffic/header_fields.h
+++ b/Libraries/LibTraffic/header_fields.h
@@ -27,6 +27,9 @@
     "Wagtailmount-Owner-Deadline";
 /// In refusals: part of the request was sent to the backend server.
 inline constexpr std::string_view kArrivedField = "Wagtailmount-Arrived";
+/// In refusals: the backend server states in its answers that it leaves.
+inline constexpr std::string_view kBackendLeavingField =
+    "Wagtailmount-Backend-Leaving";
 inline constexpr std::string_view kRequestIdField = "X-Request-Id";
 
 /// Conversions to and from the string_view type of Boost.Beast.
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -109,8 +109,7 @@
       // Judged as not idempotent, because the entry node decides about retries.
       const attempt_classification judged =
           ClassifyAttempt(result.outcome, result.cause, false);
-      co_return co_await Refuse(judged.proved, judged.cause,
-                                result.has_reached_backend_server);
+      co_return co_await Refuse(judged.proved, judged.cause, result);
     }
     const bool is_kept_alive = CanKeepAlive();
     FinishAnswer(*result.answer, id_, is_head_, is_kept_alive);
@@ -137,8 +136,12 @@
     return parser_.is_done() && parser_.keep_alive() && !state_.is_leaving;
   }
 
+  task<bool> Refuse(verdict proved, refusal_cause cause) {
+    co_return co_await Refuse(proved, cause, attempt_result{});
+  }
+
   task<bool> Refuse(verdict proved, refusal_cause cause,
-                    bool has_reached_backend_server = false) {
+                    const attempt_result& ended) {
     const bool is_kept_alive = CanKeepAlive();
     refusal_answer refusal;
     refusal.status = StatusOf(cause, proved);
@@ -147,7 +150,8 @@
     refusal.request_id = id_;
     refusal.is_kept_alive = is_kept_alive;
     refusal.is_head = is_head_;
-    refusal.has_reached_backend_server = has_reached_backend_server;
+    refusal.has_reached_backend_server = ended.has_reached_backend_server;
+    refusal.is_backend_leaving = ended.is_backend_leaving;
     const std::string load = OwnLoadText();
     refusal.load = load;
     const std::string clock = OwnClockText();
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -129,18 +129,28 @@
   const request_fields& fields = state.settings.fields;
   const std::string_view id =
       FieldOf(incoming.request.message, fields.expected_backend_server);
-  state.statements.Record(asked_at, id,
-                          ReadStatement(result.answer->message, fields));
+  const backend_statement statement =
+      ReadStatement(result.answer->message, fields);
+  state.statements.Log(id, statement,
+                       state.statements.Record(asked_at, id, statement));
   state.statements.LogStarts(id, state.counters.owner_admitted);
   state.gate.SetRateLimit(state.statements.RateLimitOf(id));
 }
 
-// Since when the backend server of this VM has been leaving, by the newest
-// snapshot; zero if it is not.
-time_point LeavingSince(const traffic_state& state) {
+// Since when the backend server that the request is meant for has been leaving,
+// by the newest snapshot or its own answers; zero if it is not.
+time_point LeavingSince(const traffic_state& state,
+                        const owner_request& incoming) {
   const auto snapshot = state.snapshot.load();
-  return snapshot != nullptr && snapshot->Own() ? snapshot->Own()->leaving_since
-                                                : time_point{};
+  const time_point published = snapshot != nullptr && snapshot->Own()
+                                   ? snapshot->Own()->leaving_since
+                                   : time_point{};
+  const time_point stated = state.statements.LeavingSince(FieldOf(
+      incoming.request.message, state.settings.fields.expected_backend_server));
+  if (published == time_point{} || stated == time_point{}) {
+    return std::max(published, stated);
+  }
+  return std::min(published, stated);
 }
 
 refusal_cause CauseNotToStartNow(const traffic_state& state,
@@ -149,7 +159,7 @@
       state.clock.Now(),
       {.deadline = incoming.deadline,
        .has_requester_left = incoming.watch.HasClientDisconnected(),
-       .leaving_since = LeavingSince(state)});
+       .leaving_since = LeavingSince(state, incoming)});
 }
 
 }  // namespace
@@ -179,7 +189,12 @@
     }
     ++state.counters.owner_refused;
     LogRefusal(state, incoming, acquired.refused);
-    co_return MakeRefusal(acquired.refused);
+    attempt_result refused = MakeRefusal(acquired.refused);
+    refused.is_backend_leaving =
+        state.statements.LeavingSince(FieldOf(
+            incoming.request.message,
+            state.settings.fields.expected_backend_server)) != time_point{};
+    co_return refused;
   }
   const time_point now = state.clock.Now();
   ++state.counters.owner_admitted;
--- a/Libraries/LibTraffic/owner_call.cc
+++ b/Libraries/LibTraffic/owner_call.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <string>
 
+#include "LibLoad/backend_statement.h"
 #include "LibLoad/load_text.h"
 #include "LibTraffic/header_fields.h"
 #include "LibTraffic/hop_text.h"
@@ -62,6 +63,8 @@
   result.cause = CauseOf(FieldOf(result.answer->message, kReasonField));
   result.has_reached_backend_server =
       !FieldOf(result.answer->message, kArrivedField).empty();
+  result.is_backend_leaving =
+      IsFlagSet(FieldOf(result.answer->message, kBackendLeavingField));
   if (verdict_text == NameOf(verdict::kNotRun)) {
     result.outcome = attempt_outcome::kRefusedNotRun;
   } else if (verdict_text == NameOf(verdict::kMayHaveRun)) {
