LibTraffic: Tell a restarted owner the rate limit that other nodes know

A backend server that names a low limit got a slotful of requests at once when the node beside it was restarted, until its first answer.

Cause: only the owner keeps the limit, and it is new. The requests began on other nodes, which are told and not restarted, so nothing excuses them.

Ruled out: one request at a time after each start of an owner, until its first answer: it would cost callers a service time at each restart, where limits are rare.

Change: a node that has passed on an answer with a limit names it in its requests to that owner; the owner goes by it until it has read an answer of its backend server itself.

--- a/Libraries/LibTraffic/backend_statements.cc
+++ b/Libraries/LibTraffic/backend_statements.cc
@@ -41,6 +41,27 @@
   return changed;
 }
 
+bool backend_statements::RecordFromPeer(std::string_view id,
+                                        double rate_limit) {
+  const std::lock_guard lock{mutex_};
+  if (answered_id_ == id) {
+    return false;
+  }
+  const time_point now = clock_.Now();
+  backend_statement statement;
+  statement.rate_limit = rate_limit;
+  memory_.Record(now, now, id, statement);
+  is_empty_ = false;
+  return true;
+}
+
+void backend_statements::SetAnswered(std::string_view id) {
+  const std::lock_guard lock{mutex_};
+  if (answered_id_ != id) {
+    answered_id_ = id;
+  }
+}
+
 void backend_statements::LogStarts(std::string_view id, std::uint64_t total) {
   constexpr std::chrono::seconds kInterval{1};
   const auto limit = RateLimitOf(id);
--- a/Libraries/LibTraffic/backend_statements.h
+++ b/Libraries/LibTraffic/backend_statements.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "LibLoad/statement_memory.h"
@@ -30,6 +31,14 @@
   statement_memory::change Record(time_point asked_at, std::string_view id,
                                   const backend_statement& statement);
 
+  /// Records a rate limit that another node knows. It counts only while this
+  /// process has read no answer of the backend server itself. Returns whether
+  /// it counts.
+  bool RecordFromPeer(std::string_view id, double rate_limit);
+
+  /// States that this process has read an answer of the backend server.
+  void SetAnswered(std::string_view id);
+
   /// Logs what a statement changed.
   void Log(std::string_view id, const backend_statement& statement,
            statement_memory::change changed) const;
@@ -51,6 +60,8 @@
   structured_log* const log_;
   mutable std::mutex mutex_;
   statement_memory memory_;
+  /// The backend server of this VM that answered last.
+  std::optional<std::string> answered_id_;
   std::uint64_t total_at_last_log_ = 0;
   time_point last_log_{};
   /// Spares the requests of a quiet time the lock.
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -208,9 +208,9 @@
     attempt_result ended;
     if (chosen.vm == state_.settings.vm) {
       ended = co_await RunAtBackendServer(
-          worker_,
-          owner_request{incoming_.request, watch_, incoming_.deadline,
-                        incoming_.chosen_route.priority, incoming_.objective});
+          worker_, owner_request{incoming_.request, watch_, incoming_.deadline,
+                                 incoming_.chosen_route.priority,
+                                 incoming_.objective, std::nullopt});
       ended.load = state_.gate.Load(incoming_.chosen_route.priority);
       ended.load->held = state_.clock.Now() - begin;
     } else {
--- a/Libraries/LibTraffic/header_fields.h
+++ b/Libraries/LibTraffic/header_fields.h
@@ -25,6 +25,10 @@
 /// In requests to an owner whose clock is known: the deadline on that clock.
 inline constexpr std::string_view kOwnerDeadlineField =
     "Wagtailmount-Owner-Deadline";
+/// In requests to an owner: the rate limit that its backend server named in the
+/// last answer that the sender got from it.
+inline constexpr std::string_view kRateLimitField =
+    "Wagtailmount-Backend-Rate-Limit";
 /// In refusals: part of the request was sent to the backend server.
 inline constexpr std::string_view kArrivedField = "Wagtailmount-Arrived";
 /// In refusals: the backend server states in its answers that it leaves.
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -1,3 +1,4 @@
+#include "LibLoad/backend_statement.h"
 #include "LibLoad/load_text.h"
 #include "LibLoad/retry.h"
 #include "LibTraffic/answers.h"
@@ -96,6 +97,8 @@
         read_status == body_status::kInvalid) {
       co_return false;
     }
+    const auto known_rate_limit =
+        ParseRateLimit(FieldOf(request.message, kRateLimitField));
     RemoveHopByHopFields(request.message);
     SetFraming(request, parser_);
     disconnect_watcher watch{client_};
@@ -103,8 +106,8 @@
       watch.Start();
     }
     attempt_result result = co_await RunAtBackendServer(
-        worker_,
-        owner_request{request, watch, deadline_, priority_, objective_});
+        worker_, owner_request{request, watch, deadline_, priority_, objective_,
+                               known_rate_limit});
     if (!result.answer) {
       // Judged as not idempotent, because the entry node decides about retries.
       const attempt_classification judged =
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -34,6 +34,7 @@
                              time_point deadline, time_point now) {
   message.erase(ToBoost(kHopField));
   message.erase(ToBoost(kOwnerDeadlineField));
+  message.erase(ToBoost(kRateLimitField));
   SetField(message, deadline_field, MillisecondsLeft(deadline, now));
 }
 
@@ -131,12 +132,24 @@
       FieldOf(incoming.request.message, fields.expected_backend_server);
   const backend_statement statement =
       ReadStatement(result.answer->message, fields);
+  state.statements.SetAnswered(id);
   state.statements.Log(id, statement,
                        state.statements.Record(asked_at, id, statement));
   state.statements.LogStarts(id, state.counters.owner_admitted);
   state.gate.SetRateLimit(state.statements.RateLimitOf(id));
 }
 
+// Until the backend server's first answer, this process knows its rate limit
+// only from other nodes.
+void ApplyKnownRateLimit(traffic_state& state, const owner_request& incoming) {
+  const std::string_view id = FieldOf(
+      incoming.request.message, state.settings.fields.expected_backend_server);
+  if (incoming.known_rate_limit &&
+      state.statements.RecordFromPeer(id, *incoming.known_rate_limit)) {
+    state.gate.SetRateLimit(incoming.known_rate_limit);
+  }
+}
+
 // Since when the backend server that the request is meant for has been leaving,
 // by the newest snapshot or its own answers; zero if it is not.
 time_point LeavingSince(const traffic_state& state,
@@ -167,6 +180,7 @@
 task<attempt_result> RunAtBackendServer(traffic_worker& worker,
                                         owner_request incoming) {
   traffic_state& state = worker.state;
+  ApplyKnownRateLimit(state, incoming);
   slot_result acquired = co_await state.gate.AcquireSlot(
       {incoming.deadline, incoming.priority, incoming.objective});
   std::unique_ptr<http_connection> connection;
--- a/Libraries/LibTraffic/owner.h
+++ b/Libraries/LibTraffic/owner.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <optional>
+
 #include "LibTraffic/exchange.h"
 #include "LibTraffic/traffic_state.h"
 
@@ -13,6 +15,8 @@
   time_point deadline;
   request_priority priority = request_priority::kInteractive;
   time_point objective{};  ///< Zero when there is none.
+  /// The rate limit that another node knows the backend server to have named.
+  std::optional<double> known_rate_limit;
 };
 
 /// Runs a request at the backend server of this VM: waits for a slot, checks
--- a/Libraries/LibTraffic/owner_call.cc
+++ b/Libraries/LibTraffic/owner_call.cc
@@ -48,6 +48,17 @@
   SetField(message, kHopField, FormatHopParameters(parameters));
 }
 
+// The owner may have been restarted since, and know of no limit.
+void SetKnownRateLimit(http_request& message, const traffic_state& state,
+                       const upstream& owner) {
+  const auto limit = state.statements.RateLimitOf(owner.backend_server_id);
+  if (limit) {
+    SetField(message, kRateLimitField, FormatRateLimit(*limit));
+  } else {
+    message.erase(ToBoost(kRateLimitField));
+  }
+}
+
 // Extracts the owner's verdict and reported load from its answer.
 void ExtractVerdictAndLoad(attempt_result& result) {
   if (!result.answer) {
@@ -115,6 +126,7 @@
   const time_point begin = clock.Now();
   PrepareForOwner(incoming.request.message, owner, incoming, attempt, begin,
                   connection->clock);
+  SetKnownRateLimit(incoming.request.message, worker.state, owner);
   result = co_await Exchange(connection, incoming.request, incoming.deadline,
                              clock, {.id = request_id_rule::kRequired}, watch);
   if (connection != nullptr) {
--- a/Tests/LibTraffic/test_rate_limit.cc
+++ b/Tests/LibTraffic/test_rate_limit.cc
@@ -28,11 +28,12 @@
 // answer to the last one.
 class steady_callers {
  public:
-  explicit steady_callers(const std::vector<endpoint>& addresses) {
+  explicit steady_callers(const std::vector<endpoint>& addresses,
+                          const std::string& header_lines = {}) {
     for (const endpoint& address : addresses) {
-      threads_.emplace_back([this, address] {
+      threads_.emplace_back([this, address, header_lines] {
         while (!is_stopping_) {
-          const auto answer = Call(address, "GET", "/");
+          const auto answer = Call(address, "GET", "/", header_lines);
           served_ += answer.status == 200 ? 1 : 0;
           refused_not_run_ +=
               answer.Field("Wagtailmount-Verdict") == "not-run" ? 1 : 0;
@@ -158,6 +159,29 @@
   BOOST_TEST(Eventually([&] { return limited.TotalRuns() > before + 100; }));
 }
 
+// Its first answer comes only after many requests; callers at other nodes would
+// make the backend server get them all.
+BOOST_AUTO_TEST_CASE(ARestartedOwnerKeepsToTheLimitThatOtherNodesKnow) {
+  constexpr double kLimit = 2.0;
+  const auto leave_one = [](wagtailmount::upstream& each) {
+    each.is_leaving = each.vm != "vm-1";
+  };
+  Publish(leave_one);
+  auto& limited = *Owner(1).backend_server;
+  limited.SetAnswerFields("X-Backend-Rate-Limit: 2\r\n");
+  const std::vector<endpoint> addresses(24, Entry().caller_address);
+  steady_callers callers{addresses, "X-Fake: slow\r\n"};
+  std::this_thread::sleep_for(milliseconds{2'000});
+  const auto named = steady_clock::now();
+  RestartOwner(1);
+  Publish(leave_one);
+  std::this_thread::sleep_for(kWindow);
+  callers.Stop();
+  BOOST_TEST(limited.MaximumReceived(named, kWindow) <=
+             MaximumWithinWindow(kLimit));
+  BOOST_TEST(limited.MaximumReceived(named, kWindow) > 0);
+}
+
 BOOST_AUTO_TEST_CASE(AMalformedRateLimitChangesNothing) {
   Publish([](wagtailmount::upstream& each) {
     each.is_leaving = each.vm != "vm-1";
--- a/Tests/LibTraffic/traffic_fixture.cc
+++ b/Tests/LibTraffic/traffic_fixture.cc
@@ -44,34 +44,44 @@
 
 traffic_fixture::traffic_fixture(int owners, fixture_options options,
                                  std::uint32_t threads)
-    : options_(options) {
+    : options_(options), threads_(threads) {
   for (int number = 0; number <= owners; ++number) {
     test_vm made;
     made.vm = "vm-" + std::to_string(number);
     made.failure_domain = "fsd-hall";
     made.backend_server = std::make_unique<fake_backend_server>();
     made.backend_address = made.backend_server->Address();
-    traffic_settings settings;
-    settings.vm = made.vm;
-    settings.failure_domain = made.failure_domain;
-    settings.region = "pk-central";
-    settings.service = number == 0 ? "other" : "ledger";
-    settings.caller = made.caller_address;
-    settings.hop = made.hop_address;
-    settings.backend_server = made.backend_address;
-    settings.threads = threads;
-    settings.maximum_descriptors = options_.maximum_descriptors;
-    settings.fields.expected_backend_server = options_.expected_backend_server;
-    settings.fields.may_end_with_connection = options_.may_end_with_connection;
-    auto started = traffic_server::Start(settings, clock_);
-    if (!started) {
-      throw std::runtime_error(started.error().message);
-    }
-    made.server = std::move(*started);
+    StartNode(made, number == 0 ? "other" : "ledger");
     vms_.push_back(std::move(made));
   }
 }
 
+void traffic_fixture::StartNode(test_vm& vm, const std::string& service) {
+  traffic_settings settings;
+  settings.vm = vm.vm;
+  settings.failure_domain = vm.failure_domain;
+  settings.region = "pk-central";
+  settings.service = service;
+  settings.caller = vm.caller_address;
+  settings.hop = vm.hop_address;
+  settings.backend_server = vm.backend_address;
+  settings.threads = threads_;
+  settings.maximum_descriptors = options_.maximum_descriptors;
+  settings.fields.expected_backend_server = options_.expected_backend_server;
+  settings.fields.may_end_with_connection = options_.may_end_with_connection;
+  auto started = traffic_server::Start(settings, clock_);
+  if (!started) {
+    throw std::runtime_error(started.error().message);
+  }
+  vm.server = std::move(*started);
+}
+
+void traffic_fixture::RestartOwner(int number) {
+  test_vm& owner = Owner(number);
+  owner.server.reset();
+  StartNode(owner, "ledger");
+}
+
 std::shared_ptr<const configuration> traffic_fixture::MakeConfiguration()
     const {
   auto ledger = std::make_shared<service>();
--- a/Tests/LibTraffic/traffic_fixture.h
+++ b/Tests/LibTraffic/traffic_fixture.h
@@ -55,6 +55,10 @@
   /// VM `number`, from 1: its node owns the upstream of that VM.
   test_vm& Owner(int number) { return vms_[number]; }
 
+  /// Ends the node of an owner and starts it again at the same addresses. It
+  /// knows nothing until the next Publish().
+  void RestartOwner(int number);
+
   /// Publishes a new snapshot on all nodes. `edit_upstream` may alter each
   /// upstream; `own` describes the backend server beside every node.
   void Publish(const std::function<void(upstream&)>& edit_upstream = {},
@@ -62,9 +66,11 @@
   time_point Now() const { return clock_.Now(); }
 
  private:
+  void StartNode(test_vm& vm, const std::string& service);
   std::shared_ptr<const configuration> MakeConfiguration() const;
 
   fixture_options options_;
+  std::uint32_t threads_ = 1;
   system_runtime_clock clock_;
   std::vector<test_vm> vms_;
 };
