LibTraffic: Bound what is held of the framing of a body

A backend server in trouble may send bytes without end where the line before a chunk or a trailer is due.

Cause: the parser takes such a line only whole, and what it had not taken was read on without a limit. Header sections had one.

Ruled out: header sections, interim answers, bytes that are not HTTP and bytes after a complete answer; they end in bounded memory and time, each on the entry and on the owner.

--- a/Libraries/LibTraffic/http_message.cc
+++ b/Libraries/LibTraffic/http_message.cc
@@ -9,6 +9,9 @@
 // Initial buffer size for a body of unknown length.
 constexpr std::size_t kInitialBodyBytes = 2048;
 constexpr std::size_t kReadBufferBytes = 16384;
+// Maximum length of what frames a body: the line before a chunk, or the trailer
+// section. The same as for a header section.
+constexpr std::size_t kMaximumFramingBytes = kMaximumHeaderBytes;
 
 task<error_code> ReadMore(http_connection& connection) {
   error_code failure;
@@ -49,6 +52,10 @@
       if (connection.buffer.size() != before) {
         continue;
       }
+      // The parser waits for the end of the framing, which may never come.
+      if (connection.buffer.size() > kMaximumFramingBytes) {
+        co_return std::pair{body_status::kInvalid, from};
+      }
     }
     const error_code failure = co_await ReadMore(connection);
     // A body without a length ends when the connection is closed, but a reset
--- a/Tests/LibTraffic/fake_backend_server.h
+++ b/Tests/LibTraffic/fake_backend_server.h
@@ -38,6 +38,8 @@
 ///   close-after       answers completely, then closes the connection without
 ///                     having announced it
 ///   early-answer      sends a 103 response before the final one
+///   endless-...       sends bytes until the node closes the connection, in
+///                     the part of the answer that the name says
 ///   own-fields        sets Wagtailmount-Verdict and Wagtailmount-Reason itself
 class fake_backend_server {
  public:
@@ -56,6 +58,8 @@
   /// The request line and header of the last request, as received.
   std::string LastRequestHead() const;
   void ReleaseWaitingRequests();
+  /// How many endless answers are being sent.
+  int EndlessAnswers() const { return endless_answers_; }
   /// Adds header fields, each a line that ends with CRLF, to the answers with a
   /// length that are sent from now on.
   void SetAnswerFields(const std::string& lines);
@@ -71,6 +75,7 @@
                          std::string& owed_copy);
   /// Spends the time that a behaviour takes before its answer.
   void Run(int socket, const std::string& behaviour);
+  bool SendEndlessAnswer(int socket, const std::string& behaviour);
   bool SendAnswer(int socket, const std::string& behaviour,
                   const std::string& id, const std::string& method,
                   const std::string& body, std::string& owed_copy);
@@ -81,6 +86,7 @@
   std::atomic<int> runs_{0};
   std::atomic<int> peak_connections_{0};
   std::atomic<int> running_{0};
+  std::atomic<int> endless_answers_{0};
   std::atomic<int> peak_running_{0};
   mutable std::mutex mutex_;
   std::condition_variable released_;
--- a/Tests/LibTraffic/traffic_fixture.cc
+++ b/Tests/LibTraffic/traffic_fixture.cc
@@ -209,6 +209,26 @@
   return answer;
 }
 
+std::optional<std::string> test_caller::Discard(milliseconds limit) {
+  constexpr std::size_t kKeptBytes = 16;
+  const auto end = std::chrono::steady_clock::now() + limit;
+  std::string last;
+  while (std::chrono::steady_clock::now() < end) {
+    pollfd polled{socket_, POLLIN, 0};
+    char buffer[65536];
+    if (::poll(&polled, 1, 10) <= 0) {
+      continue;
+    }
+    const auto count = ::recv(socket_, buffer, sizeof(buffer), 0);
+    if (count <= 0) {
+      return last;
+    }
+    last.append(buffer, static_cast<std::size_t>(count));
+    last.erase(0, last.size() - std::min(last.size(), kKeptBytes));
+  }
+  return std::nullopt;
+}
+
 bool test_caller::IsClosed() {
   pollfd polled{socket_, POLLIN, 0};
   char byte = 0;
--- a/Tests/LibTraffic/traffic_fixture.h
+++ b/Tests/LibTraffic/traffic_fixture.h
@@ -100,6 +100,10 @@
   /// Reads one answer; `has_no_body` expects no body, as after HEAD or for an
   /// interim answer. Gives up when nothing arrives for 10 s.
   received_answer Receive(bool has_no_body = false);
+  /// Reads and drops what comes until the peer closes the connection or `limit`
+  /// has passed. Returns the last bytes, up to 16, or nothing if the peer has
+  /// not closed it.
+  std::optional<std::string> Discard(std::chrono::milliseconds limit);
   /// Waits up to 1.5 s; true if the peer closes the connection without sending
   /// anything more.
   bool IsClosed();
