LibTraffic: End a streamed answer that has not ended by its deadline

A backend server in trouble may send a body without end. A caller that goes on reading got it for as long as it read, and the backend server's slot and both connections were held.

Cause: the deadline held until an answer had begun; from then on each piece had 5 s, and an endless body has always a next piece.

Ruled out: a limit on the length; large answers are proper ones. Cutting at the deadline itself: an answer begun in time may have its rest on the way.

Change: the rest of a streamed answer may come until 0.25 s after the deadline; past that the connections are closed, which the caller can tell from a complete answer.

Measured: AnEndlessBodyEndsInBoundedMemoryAndTime failed before in all six variants (still going 0.5 s past the deadline) and passes, three runs of three; TestLibTrafficPath passes.

--- a/Libraries/LibTraffic/exchange.cc
+++ b/Libraries/LibTraffic/exchange.cc
@@ -153,6 +153,7 @@
   if (read_status == body_status::kMore) {
     answer.remaining_body = std::move(parser);
     answer.connection = std::move(connection);
+    answer.rest_by = deadline + kStreamedRestGrace;
   } else if (!parser->keep_alive()) {
     connection.reset();
   }
--- a/Libraries/LibTraffic/http_message.cc
+++ b/Libraries/LibTraffic/http_message.cc
@@ -221,8 +221,13 @@
   connection.stream.expires_after(kBodyPieceTimeout);
   co_await http::async_write(connection.stream, serializer, ReportTo(failure));
   while (failure == http::error::need_buffer) {
+    const time_point now = time_point::clock::now();
+    if (now >= answer.rest_by) {
+      co_return false;
+    }
     std::string piece;
-    answer.connection->stream.expires_after(kBodyPieceTimeout);
+    answer.connection->stream.expires_at(
+        std::min<time_point>(now + kBodyPieceTimeout, answer.rest_by));
     const body_status read_status = co_await ReadBodyPiece(
         *answer.connection, *answer.remaining_body, piece);
     if (read_status == body_status::kLost ||
--- a/Libraries/LibTraffic/http_message.h
+++ b/Libraries/LibTraffic/http_message.h
@@ -41,7 +41,8 @@
   std::string body;
   std::unique_ptr<http_response_parser> remaining_body;
   std::unique_ptr<http_connection> connection;
-  backend_slot slot;  ///< Held until the rest has been streamed.
+  time_point rest_by{};  ///< When no more of the rest is waited for.
+  backend_slot slot;     ///< Held until the rest has been streamed.
 };
 
 /// Reads a header section of at most `maximum_bytes`. The timeout must be set
@@ -76,7 +77,8 @@
 task<write_status> WriteRequest(http_connection& connection,
                                 outgoing_request& request);
 
-/// Writes `answer`; false when either side failed. The connection must then be
+/// Writes `answer`; false when either side failed, or the rest had not ended in
+/// time. The connection must then be
 /// closed, so that the peer detects the truncation.
 task<bool> WriteAnswer(http_connection& connection, incoming_answer& answer);
 
--- a/Libraries/LibTraffic/http_types.h
+++ b/Libraries/LibTraffic/http_types.h
@@ -51,6 +51,9 @@
 inline constexpr std::chrono::seconds kIdleHopTimeout{75};
 /// Timeout for reading or writing one piece of a body.
 inline constexpr std::chrono::seconds kBodyPieceTimeout{5};
+/// How long after the deadline the rest of a streamed answer may still come: it
+/// was begun in time, and most of it may be on the way.
+inline constexpr std::chrono::milliseconds kStreamedRestGrace{250};
 /// Timeout for opening a connection.
 inline constexpr std::chrono::milliseconds kConnectTimeout{250};
 
--- a/Tests/LibTraffic/test_endless_answers.cc
+++ b/Tests/LibTraffic/test_endless_answers.cc
@@ -60,6 +60,20 @@
     }
   }
 
+  // The answer begins, and is cut so that it does not look complete.
+  void CheckThatItIsCut(const endpoint& node, const std::string& behaviour) {
+    BOOST_TEST_CONTEXT(behaviour) {
+      const long memory_before = PeakMemoryKilobytes();
+      test_caller caller{node};
+      caller.Send("GET / HTTP/1.1\r\nHost: ledger\r\nX-Fake: " + behaviour +
+                  "\r\n\r\n");
+      const auto last = caller.Discard(kDeadline + kMaximumPastDeadline);
+      BOOST_TEST(last.has_value());
+      BOOST_TEST((!last || !last->ends_with("0\r\n\r\n")));
+      CheckThatNothingIsLeft(memory_before);
+    }
+  }
+
   void CheckThatNothingIsLeft(long memory_before) {
     BOOST_TEST(PeakMemoryKilobytes() - memory_before <=
                kMaximumGrowthKilobytes);
@@ -91,6 +105,15 @@
   }
 }
 
+// A caller that goes on reading must not keep it going.
+BOOST_AUTO_TEST_CASE(AnEndlessBodyEndsInBoundedMemoryAndTime) {
+  for (const char* const behaviour :
+       {"endless-chunks", "endless-body", "endless-until-close"}) {
+    CheckThatItIsCut(Entry().caller_address, behaviour);
+    CheckThatItIsCut(Owner(1).caller_address, behaviour);
+  }
+}
+
 // The answer is whole; what follows belongs to no request.
 BOOST_AUTO_TEST_CASE(BytesWithoutEndAfterAnAnswerAreLeftUnread) {
   const long memory_before = PeakMemoryKilobytes();
