LibTraffic: Answer what a stopping node has read before it ends

Cause: a request read after SIGTERM waited in an owner's queue for up to half of its 8 s, was refused there after 1.9 s and queued at another one, past the cut of this process.

Ruled out: requests that run at the cut; those are work of the backend server, which the rule allows.

Change: while a node stops, no request gets more time than until 0.15 s before the cut, as entry and as owner, also requests read before, from their next attempt on. Owners then refuse it as not run in time.

--- a/Libraries/LibNode/catalog_node.cc
+++ b/Libraries/LibNode/catalog_node.cc
@@ -151,7 +151,7 @@
 void catalog_node::BeginStop() {
   is_stopping_ = true;
   stop_began_ = clock_.Now();
-  traffic_->BeginStop();
+  traffic_->BeginStop(stop_began_ + AnswerPeriod(settings_.drain_grace));
   log_.Add(log_line{"stop-begun"}
                .Number("in_flight", static_cast<std::int64_t>(
                                         traffic_->Counters().in_flight))
--- a/Libraries/LibNode/stop_schedule.cc
+++ b/Libraries/LibNode/stop_schedule.cc
@@ -16,6 +16,9 @@
 /// A process that may use a tenth of a core goes without a turn for up to 0.4 s
 /// while it is busy, and needs some turns to end.
 constexpr milliseconds kCutMargin{800};
+/// How long an answer that was given by another node at the last moment, such
+/// as a refusal from its queue, may take to reach the caller.
+constexpr milliseconds kLastAnswerMargin{150};
 
 }  // namespace
 
@@ -30,4 +33,8 @@
                                         : stop_phase::kNotice;
 }
 
+duration AnswerPeriod(milliseconds grace) {
+  return grace - kCutMargin - kLastAnswerMargin;
+}
+
 }  // namespace wagtailmount
--- a/Libraries/LibNode/stop_schedule.h
+++ b/Libraries/LibNode/stop_schedule.h
@@ -21,4 +21,8 @@
 stop_phase StopPhaseAt(duration elapsed, std::chrono::milliseconds grace,
                        bool is_idle);
 
+/// Returns how long after it was told to stop a node may take for the last
+/// answers: until shortly before the cut.
+duration AnswerPeriod(std::chrono::milliseconds grace);
+
 }  // namespace wagtailmount
--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -245,8 +245,8 @@
   void SetDeadlines(const route& chosen) {
     using std::chrono::milliseconds;
     begin_ = state_.clock.Now();
-    deadline_ = begin_ + chosen.deadline;
-    caller_deadline_ = deadline_;
+    caller_deadline_ = begin_ + chosen.deadline;
+    deadline_ = std::min(caller_deadline_, state_.answer_by.load());
     objective_ = begin_ + chosen.latency_objective;
     const auto stated_ms = ParseNumber(
         FieldOf(parser_.get(), state_.settings.fields.caller_deadline));
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -117,6 +117,8 @@
   // The upstream for the next attempt; nothing when there is to be no other.
   std::optional<upstream_choice> NextChoice(entry_result& result) {
     const time_point now = state_.clock.Now();
+    // The process may have been told to stop since the last attempt.
+    incoming_.deadline = std::min(incoming_.deadline, state_.answer_by.load());
     if (now >= incoming_.deadline) {
       result.cause = result.attempts == 0 ? refusal_cause::kTooLate
                                           : refusal_cause::kDeadline;
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -53,7 +53,8 @@
     if (!age) {
       co_return false;
     }
-    deadline_ = now + parameters->time_left - *age;
+    deadline_ = std::min<time_point>(now + parameters->time_left - *age,
+                                     state_.answer_by.load());
     if (parameters->objective_left) {
       objective_ = now + *parameters->objective_left - *age;
     }
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -119,7 +119,10 @@
     state_.snapshot.store(std::move(snapshot));
   }
 
-  void BeginStop() override { state_.is_stopping = true; }
+  void BeginStop(time_point answer_by) override {
+    state_.answer_by = answer_by;
+    state_.is_stopping = true;
+  }
   void BeginLeaving() override { state_.is_leaving = true; }
 
   void BeginDrain() override {
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -116,8 +116,9 @@
   /// Prepares for the end of this process while its backend server keeps
   /// running. Answers tell callers to close their connections; everything else
   /// continues until BeginDrain(), because only this process can reach the
-  /// backend server.
-  virtual void BeginStop() = 0;
+  /// backend server. No request gets more time than until `answer_by`, so that
+  /// each one that is read is also answered.
+  virtual void BeginStop(time_point answer_by) = 0;
 
   /// Starts no more requests at this VM's backend server. Callers are still
   /// served by other upstreams, and answers tell them to close their
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -76,6 +76,8 @@
   /// This process ends soon, but the backend server keeps running and receives
   /// requests; callers are told to close their connections.
   std::atomic<bool> is_stopping{false};
+  /// When the last answers are to be given; in the far future unless stopping.
+  std::atomic<time_point> answer_by{time_point::max()};
   /// No new request starts at this VM's backend server; callers are told to
   /// close their connections.
   std::atomic<bool> is_leaving{false};
--- a/Tests/LibNode/test_stop_schedule.cc
+++ b/Tests/LibNode/test_stop_schedule.cc
@@ -32,6 +32,16 @@
   }
 }
 
+// A backend server may be at work on a request until the last sixth of the
+// grace period; its answer must not be cut before.
+BOOST_AUTO_TEST_CASE(TheLastAnswersAreDueBetweenTheLastSixthAndTheCut) {
+  for (const milliseconds grace : {milliseconds{6'000}, milliseconds{10'000}}) {
+    const duration period = AnswerPeriod(grace);
+    BOOST_TEST((period >= grace - grace / 6));
+    BOOST_TEST((StopPhaseAt(period, grace, false) == stop_phase::kDrain));
+  }
+}
+
 // A tenth of a core: no turn for 0.4 s when the cut is due, and again while the
 // process ends.
 BOOST_AUTO_TEST_CASE(TheCutLeavesTimeToEndWithinTheGracePeriod) {
--- a/Tests/LibTraffic/test_drain.cc
+++ b/Tests/LibTraffic/test_drain.cc
@@ -8,6 +8,7 @@
 
 #include "Tests/LibTraffic/traffic_fixture.h"
 
+using wagtailmount::time_point;
 using namespace wagtailmount::testing;  // NOLINT(google-build-using-namespace)
 
 BOOST_AUTO_TEST_SUITE(drain_suite)
@@ -58,7 +59,7 @@
   traffic_fixture fixture{1};
   fixture.Publish();
   auto& stopping = fixture.Owner(1);
-  stopping.server->BeginStop();
+  stopping.server->BeginStop(fixture.Now() + std::chrono::seconds{5});
   for (int call = 0; call < 20; ++call) {
     const auto answer =
         Call(stopping.caller_address, "POST", "/", "", "amount=20");
@@ -119,6 +120,35 @@
   BOOST_TEST(owner.backend_server->RunCount("queued") == 0);
 }
 
+// Callers whose requests wait for a slot may have much more time than the
+// process has. They are told that nothing ran while they can still be told.
+BOOST_AUTO_TEST_CASE(ARequestThatWaitsAtAStoppingNodeIsAnsweredBeforeTheEnd) {
+  constexpr std::chrono::milliseconds kAnswerIn{500};
+  // The process ends this long after the last answers are due.
+  constexpr std::chrono::milliseconds kEndMargin{150};
+  fixture_options options;
+  options.limits.slots = 1;
+  options.attempts = 1;
+  options.deadline = std::chrono::milliseconds{5'000};
+  for (const bool is_owner_stopping : {false, true}) {
+    traffic_fixture fixture{1, options};
+    fixture.Publish();
+    auto& owner = fixture.Owner(1);
+    test_caller slot_holder{owner.caller_address};
+    slot_holder.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Fake: hang\r\n\r\n");
+    BOOST_REQUIRE(
+        Eventually([&] { return owner.backend_server->TotalRuns() == 1; }));
+    auto& stopping = is_owner_stopping ? owner : fixture.Entry();
+    const time_point answer_by = fixture.Now() + kAnswerIn;
+    stopping.server->BeginStop(answer_by);
+    const auto refused =
+        Call(fixture.Entry().caller_address, "POST", "/", "", "amount=20");
+    BOOST_TEST(refused.status == 503);
+    BOOST_TEST(refused.Field("Wagtailmount-Verdict") == "not-run");
+    BOOST_TEST((fixture.Now() <= answer_by + kEndMargin));
+  }
+}
+
 // A planned stop under load. A caller may find its connection reset, which says
 // that its request was not read; it may not find it ended after its request was
 // read.
