LibLoad: Refuse a hopeless request of a later rank at once

At worst load, callers of the less urgent kinds waited a third of a second in an owner's queue and were then refused, too late to be on time elsewhere.

Cause: the expected wait counted the requests that are queued ahead, but not those of earlier ranks that arrive meanwhile and start first. With a quarter of the load in the earlier rank, the later one starts at 0.4 to 0.7 of the rate that the estimate assumed.

Ruled out: shorter queues for all; the slots would idle. A limit on the later rank's share; it may use all that the earlier one leaves.

Change: the expected wait is divided by the share of the starts that earlier ranks leave, a moving average.

--- a/Libraries/LibLoad/admission_controller.cc
+++ b/Libraries/LibLoad/admission_controller.cc
@@ -21,6 +21,12 @@
 constexpr int kShortLateWaitDivisor = 6;
 /// The longer wait is allowed from this share of started late requests.
 constexpr double kLongLateWaitShare = 0.5;
+/// The newest start weighs 1/32 in the share of its rank: some tenths of a
+/// second of starts at a busy owner.
+constexpr double kShareOfStartsDivisor = 32.0;
+/// At least this part of the starts is taken to be left to a rank, since the
+/// share of the others is an estimate.
+constexpr double kMinimumShareLeft = 0.1;
 /// The newest late request weighs 1/16 in that share.
 constexpr double kStartedShareDivisor = 16.0;
 
@@ -80,12 +86,32 @@
     }
   }
   const duration wait_for_rate = rate_.TimeUntil(now, ahead + 1);
-  if (running_.size() < Slots() && (Queued() == 0 || rate_.Rate())) {
-    return wait_for_rate;
-  }
+  const bool is_slot_free =
+      running_.size() < Slots() && (Queued() == 0 || rate_.Rate());
   const duration wait_for_slot =
-      work / static_cast<std::int64_t>(std::max<std::size_t>(1, Slots()));
-  return std::max(wait_for_slot, wait_for_rate);
+      is_slot_free
+          ? duration::zero()
+          : work / static_cast<std::int64_t>(std::max<std::size_t>(1, Slots()));
+  // Requests of earlier ranks that arrive meanwhile start first.
+  const double share_left =
+      std::max(kMinimumShareLeft, 1.0 - ShareOfEarlierRanks(key.rank));
+  return std::chrono::duration_cast<duration>(
+      std::max(wait_for_slot, wait_for_rate) / share_left);
+}
+
+double admission_controller::ShareOfEarlierRanks(request_priority rank) const {
+  double share = 0.0;
+  for (const auto& [other, share_of_other] : share_of_starts_) {
+    share += other < rank ? share_of_other : 0.0;
+  }
+  return share;
+}
+
+void admission_controller::CountStart(request_priority rank) {
+  share_of_starts_.try_emplace(rank, 0.0);
+  for (auto& [other, share] : share_of_starts_) {
+    share += ((other == rank ? 1.0 : 0.0) - share) / kShareOfStartsDivisor;
+  }
 }
 
 admission_reply admission_controller::Arrive(time_point now,
@@ -101,6 +127,7 @@
     reply.decided = admission_reply::kind::kStart;
     reply.id = ++last_id_;
     running_.emplace(reply.id, running_request{now, arriving.rank});
+    CountStart(arriving.rank);
     return reply;
   }
   // A request that would wait for too long is refused at once, while there is
@@ -238,6 +265,7 @@
     const admission_id id = queue.front().id;
     queue.pop_front();
     running_.emplace(id, running_request{now, key.rank});
+    CountStart(key.rank);
     effects.push_back({id, refusal_cause::kNone});
     CountLateOutcome(key, true);
     return;
--- a/Libraries/LibLoad/admission_controller.h
+++ b/Libraries/LibLoad/admission_controller.h
@@ -159,6 +159,8 @@
                            std::vector<admission_effect>& effects);
   duration ExpectedWait(time_point now, queue_key key) const;
   duration MeanDuration(request_priority rank) const;
+  double ShareOfEarlierRanks(request_priority rank) const;
+  void CountStart(request_priority rank);
   double& StartedShareOfLate(request_priority rank);
   void CountLateOutcome(queue_key key, bool is_started);
   void RecordDuration(request_priority rank, duration taken);
@@ -170,6 +172,8 @@
   std::map<queue_key, std::deque<waiting_request>> waiting_;
   duration mean_duration_{};
   std::map<request_priority, duration> mean_duration_of_rank_;
+  /// Of each rank: the moving average of its share of all starts.
+  std::map<request_priority, double> share_of_starts_;
   /// Of each rank: the moving average of the share of queued late requests that
   /// were started.
   std::map<request_priority, double> started_share_of_late_;
--- a/Tests/LibLoad/test_load_patterns.cc
+++ b/Tests/LibLoad/test_load_patterns.cc
@@ -210,6 +210,31 @@
   BOOST_TEST(simulation.MaxRunningAboveSlots() <= 0);
 }
 
+// Requests of the earlier rank that arrive meanwhile start first, so most of
+// the other rank would wait for nothing. What is hopeless is refused at once,
+// and the slots stay as busy as before.
+BOOST_AUTO_TEST_CASE(HopelessRequestsOfTheLaterRankAreRefusedAtOnce) {
+  for (const double load : {1.2, 1.7}) {
+    for (const double first_rank_share : {0.25, 0.5}) {
+      BOOST_TEST_CONTEXT("load " << load << " share " << first_rank_share) {
+        const load_pattern pattern{.arrivals_a_second = load * kCapacity,
+                                   .first_rank_share = first_rank_share};
+        owner_simulation simulation{pattern, 8};
+        simulation.Run(milliseconds{20'000});
+        const outcome_counts& first_rank = simulation.CountsOf(kFirstRank);
+        const outcome_counts& second_rank = simulation.CountsOf(kSecondRank);
+        // Up to an eighth of the objective, a refusal costs the caller nothing.
+        BOOST_TEST(SecondsOf(simulation.WaitBeforeRefusal()) <=
+                   SecondsOf(pattern.objective / 8) *
+                       (first_rank.refused + second_rank.refused));
+        BOOST_TEST(first_rank.on_time + second_rank.on_time >
+                   0.93 * kCapacity * 20.0);
+        BOOST_TEST(first_rank.OnTimeShare() > 0.95);
+      }
+    }
+  }
+}
+
 // Retries past their objective must not make first attempts late.
 BOOST_AUTO_TEST_CASE(LateRetriesDoNotDelayFirstAttempts) {
   load_pattern without_retries{.arrivals_a_second = 1.4 * kCapacity};
--- a/Tests/LibLoad/test_rate_limiter.cc
+++ b/Tests/LibLoad/test_rate_limiter.cc
@@ -242,8 +242,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(MoreUrgentRequestsAreServedMoreOftenUnderALimit) {
-  limited_owner owner{limited_load{}};
+  const limited_load load;
+  limited_owner owner{load};
   owner.Run(seconds{30});
+  BOOST_TEST((owner.MeanWaitBeforeRefusal() <= load.objective / 8));
   BOOST_TEST(owner.ServedShare(kFirstRank) >= owner.ServedShare(kSecondRank));
 }
 
