LibTraffic: Use no connection past the idle timeout that its peer states

A request could cross the close of an idle connection: a posting then ends as may-have-run, which its caller can't repeat.

Ruled out: other statements in answers. Connection: close is heeded by the parser, X-Request-Id and the proof of origin are checked, and a refusal as not run is converted; Retry-After of a refusing backend server is not used on purpose, since its owner tries elsewhere first.

Change: the stated timeout, less 0.1 s, is a limit of its own for each connection.

Measured: AConnectionIsNotUsedAfterItsStatedIdleTimeout failed before (one connection where there must be two) and passes; TestLibTrafficPath three runs of three.

--- a/Libraries/LibTraffic/connection_pool.cc
+++ b/Libraries/LibTraffic/connection_pool.cc
@@ -14,6 +14,9 @@
 /// for this long. Allows several retransmissions on a lossy link and is well
 /// below request deadlines.
 constexpr unsigned kUnacknowledgedTimeoutMilliseconds = 1'000;
+/// A connection that the peer is about to close for being idle is not used: the
+/// close could cross the request.
+constexpr std::chrono::milliseconds kIdleTimeoutMargin{100};
 
 }  // namespace
 
@@ -35,7 +38,10 @@
       target_connections.clear();
       return nullptr;
     }
-    if (!connection->IsUnusable()) {
+    const bool may_be_closed =
+        now - connection->idle_since >=
+        connection->stated_idle_timeout - kIdleTimeoutMargin;
+    if (!may_be_closed && !connection->IsUnusable()) {
       connection->is_reused = true;
       return connection;
     }
--- a/Libraries/LibTraffic/exchange.cc
+++ b/Libraries/LibTraffic/exchange.cc
@@ -8,6 +8,9 @@
 
 namespace {
 
+// Longer idle timeouts are as good as none.
+constexpr std::uint64_t kMaximumIdleTimeoutSeconds = 3'600;
+
 attempt_outcome OutcomeOfFailedWrite(write_status written, bool is_in_time) {
   switch (written) {
     case write_status::kNothingWritten:
@@ -107,6 +110,22 @@
   co_return co_await ReadAnswerHeader(connection, method, failure);
 }
 
+// Parses "timeout=N", in whole seconds, in the Keep-Alive field; the maximum if
+// there is none.
+duration StatedIdleTimeout(const http_response& answer) {
+  constexpr std::string_view kTimeout = "timeout=";
+  std::string_view text = ToStandard(answer[http::field::keep_alive]);
+  const std::size_t begin = text.find(kTimeout);
+  if (begin == std::string_view::npos) {
+    return duration::max();
+  }
+  text.remove_prefix(begin + kTimeout.size());
+  const auto seconds = ParseNumber(text.substr(0, text.find_first_of(", ")));
+  return seconds && *seconds <= kMaximumIdleTimeoutSeconds
+             ? duration{std::chrono::seconds{*seconds}}
+             : duration::max();
+}
+
 // Reads the answer to a request that has been written completely.
 task<attempt_result> ReadAnswer(std::unique_ptr<http_connection>& connection,
                                 const outgoing_request& request,
@@ -183,6 +202,7 @@
     connection.reset();
   } else if (connection != nullptr) {
     connection->last_request_id = FieldOf(request.message, kRequestIdField);
+    connection->stated_idle_timeout = StatedIdleTimeout(result.answer->message);
   }
   co_return result;
 }
--- a/Libraries/LibTraffic/http_connection.h
+++ b/Libraries/LibTraffic/http_connection.h
@@ -61,6 +61,8 @@
   boost::beast::flat_buffer buffer;
   idle_connection_permit permit;  ///< Held while idle; backend server only.
   time_point idle_since{};
+  /// How long the peer keeps it open while it is idle, as far as it says so.
+  duration stated_idle_timeout = duration::max();
   bool is_reused = false;  ///< Has carried an exchange before.
   /// X-Request-Id of the last complete exchange, by which a second copy of its
   /// answer is recognized; empty before the first.
--- a/Tests/LibTraffic/fake_backend_server.cc
+++ b/Tests/LibTraffic/fake_backend_server.cc
@@ -139,6 +139,7 @@
       }
       const int on = 1;
       ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+      ++connections_;
       const std::lock_guard lock{mutex_};
       sockets_.push_back(socket);
       RaiseTo(peak_connections_, CountOpen(sockets_));
--- a/Tests/LibTraffic/fake_backend_server.h
+++ b/Tests/LibTraffic/fake_backend_server.h
@@ -53,6 +53,8 @@
   /// How many times a request with this X-Request-Id has been run.
   int RunCount(const std::string& id) const;
   int TotalRuns() const { return runs_; }
+  /// How many connections have been accepted.
+  int Connections() const { return connections_; }
   int PeakConnections() const { return peak_connections_; }
   int PeakRunning() const { return peak_running_; }
   /// The request line and header of the last request, as received.
@@ -84,6 +86,7 @@
   int listener_ = -1;
   std::atomic<bool> is_stopping_{false};
   std::atomic<int> runs_{0};
+  std::atomic<int> connections_{0};
   std::atomic<int> peak_connections_{0};
   std::atomic<int> running_{0};
   std::atomic<int> endless_answers_{0};
--- a/Tests/LibTraffic/test_request_path.cc
+++ b/Tests/LibTraffic/test_request_path.cc
@@ -1,8 +1,11 @@
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <deque>
+#include <thread>
 
 #include "Tests/LibTraffic/traffic_fixture.h"
 
+using wagtailmount::endpoint;
 using wagtailmount::testing::Call;
 using wagtailmount::testing::test_caller;
 using wagtailmount::testing::traffic_fixture;
@@ -180,4 +183,30 @@
   BOOST_TEST(fixture.Entry().server->RecentDecisions().size() == 256U);
 }
 
+// A backend server says in its answers for how long it keeps an idle connection
+// open; its close could cross the next request.
+BOOST_AUTO_TEST_CASE(AConnectionIsNotUsedAfterItsStatedIdleTimeout) {
+  traffic_fixture fixture{1};
+  fixture.Publish();
+  auto& backend = *fixture.Owner(1).backend_server;
+  const endpoint& node = fixture.Owner(1).caller_address;
+  backend.SetAnswerFields("Keep-Alive: timeout=1, max=100\r\n");
+  BOOST_TEST(Call(node, "GET", "/").status == 200);
+  BOOST_TEST(Call(node, "GET", "/").status == 200);
+  BOOST_TEST(backend.Connections() == 1);
+  std::this_thread::sleep_for(std::chrono::milliseconds{950});
+  BOOST_TEST(Call(node, "GET", "/").status == 200);
+  BOOST_TEST(backend.Connections() == 2);
+  // Without the statement, or with one that can't be read, idle connections are
+  // used for longer.
+  for (const char* const fields : {"", "Keep-Alive: timeout=soon\r\n"}) {
+    backend.SetAnswerFields(fields);
+    Call(node, "GET", "/");
+    const int before = backend.Connections();
+    std::this_thread::sleep_for(std::chrono::milliseconds{950});
+    BOOST_TEST(Call(node, "GET", "/").status == 200);
+    BOOST_TEST(backend.Connections() == before);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
