LibTraffic: Bind no other backend server by a rate limit without an id

Callers of the folder interface would be refused: where backend servers have no ids, a limit that one of them named bound all those whose nodes had passed it on, down to nothing being sent to their own.

A node remembers statements by the backend server's id, and the empty id stood for its own and for every other one.

Ruled out: the catalog interface; there each has an id.

Change: an entry records, and passes on to owners, nothing about a backend server without an id. Its owner still keeps to the limit.

--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -180,6 +180,10 @@
 
   void RecordStatement(const upstream& chosen, const attempt_result& ended,
                        time_point asked_at) {
+    // Without an id, it could not be told from this VM's own backend server.
+    if (chosen.backend_server_id.empty()) {
+      return;
+    }
     backend_statement statement;
     if (ended.answer) {
       statement = ReadStatement(ended.answer->message, state_.settings.fields);
--- a/Libraries/LibTraffic/owner_call.cc
+++ b/Libraries/LibTraffic/owner_call.cc
@@ -51,7 +51,9 @@
 // The owner may have been restarted since, and know of no limit.
 void SetKnownRateLimit(http_request& message, const traffic_state& state,
                        const upstream& owner) {
-  const auto limit = state.statements.RateLimitOf(owner.backend_server_id);
+  const std::string& id = owner.backend_server_id;
+  const auto limit =
+      id.empty() ? std::nullopt : state.statements.RateLimitOf(id);
   if (limit) {
     SetField(message, kRateLimitField, FormatRateLimit(*limit));
   } else {
--- a/Tests/LibTraffic/test_rate_limit.cc
+++ b/Tests/LibTraffic/test_rate_limit.cc
@@ -182,6 +182,34 @@
   BOOST_TEST(limited.MaximumReceived(named, kWindow) > 0);
 }
 
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(rate_limit_without_ids_suite)
+
+// Where backend servers have no ids, a node knows a limit only of its own one.
+BOOST_AUTO_TEST_CASE(ARateLimitBindsNoOtherBackendServer) {
+  fixture_options options;
+  options.latency_objective = milliseconds{250};
+  traffic_fixture fixture{2, options};
+  fixture.Publish();
+  fixture.Owner(1).backend_server->SetAnswerFields(
+      "X-Backend-Rate-Limit: 1\r\n");
+  auto& other = *fixture.Owner(2).backend_server;
+  steady_callers callers{{fixture.Owner(2).caller_address,
+                          fixture.Owner(2).caller_address,
+                          fixture.Entry().caller_address}};
+  BOOST_REQUIRE(Eventually(
+      [&] { return fixture.Owner(1).backend_server->TotalRuns() > 1; }));
+  const auto named = steady_clock::now();
+  std::this_thread::sleep_for(milliseconds{1'500});
+  callers.Stop();
+  BOOST_TEST(other.MaximumReceived(named, milliseconds{1'000}) >= 60);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(malformed_rate_limit_suite, rate_limit_fixture)
+
 BOOST_AUTO_TEST_CASE(AMalformedRateLimitChangesNothing) {
   Publish([](wagtailmount::upstream& each) {
     each.is_leaving = each.vm != "vm-1";
