Tests/Soak: End a backend server with its connections, and wait for the last step

Traced by schedule and logs, both mistakes of the soak. A stand-in backend server that ended went on answering on kept connections under its old id, so the next start's requests got 421. And steps on one backend server wait for each other, so a limit of 2 a second was named until the last second, in the time in which everything must work.

Ruled out: the nodes.

Change: ending shuts the connections; the calm time at the end begins when the last step has ended; entries of starts that are gone lapse after the store was restored.

--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -8,9 +8,9 @@
 from soak_callers import Callers
 from soak_fleet import SoakFleet
 from soak_judge import Record, breaches
-from soak_schedule import CALM_AT_END_SECONDS, Operator, Schedule
+from soak_schedule import Operator, Schedule
 
-SETTLE_SECONDS = 5.0  # Of the calm time at the end, before everything must work.
+SETTLE_SECONDS = 5.0  # From the end of the last step until everything must work.
 
 
 def soak(seed, seconds, size, callers, keep):
@@ -28,10 +28,9 @@
         operator = Operator(fleet, schedule)
         load = Callers(fleet, seed, callers)
         operator.run(seconds)
-        calm_from = time.monotonic() - CALM_AT_END_SECONDS + SETTLE_SECONDS
         load.stop()
         record = Record(load.attempts, fleet.backends, operator)
-        found = [*operator.failures, *breaches(record, calm_from)]
+        found = [*operator.failures, *breaches(record, operator.over_at + SETTLE_SECONDS)]
         served = sum(each.status == 200 for each in load.attempts)
         refused = sum(each.status in (429, 503) for each in load.attempts)
         failures = collections.Counter(each.failure for each in load.attempts if each.failure)
--- a/Tests/Soak/soak_fleet.py
+++ b/Tests/Soak/soak_fleet.py
@@ -7,6 +7,7 @@
 import random
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import threading
@@ -75,10 +76,19 @@
         self.is_leaving = False
         self.fault, self.fault_share = None, 0.0
         self.is_stopped = False
+        self._connections = set()
         chance = random.Random(seed)
         backend = self
 
         class Handler(Answering):
+            def setup(self):
+                super().setup()
+                backend._connections.add(self.connection)
+
+            def finish(self):
+                backend._connections.discard(self.connection)
+                super().finish()
+
             def do_GET(self):
                 body = self.rfile.read(int(self.headers.get("Content-Length") or 0))
                 request_id = self.headers.get("X-Request-Id")
@@ -136,8 +146,14 @@
                 "state": state, "cold-remaining": "0ms", "seq": 1}
 
     def stop(self):
+        """Ends it as a process ends: with its connections."""
         self.is_stopped = True
         self._server.stop()
+        for connection in list(self._connections):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # The other side has closed it.
 
 
 class SoakNode(Process):
--- a/Tests/Soak/soak_schedule.py
+++ b/Tests/Soak/soak_schedule.py
@@ -64,6 +64,7 @@
         self.leavings = []  # (identity, acknowledged at)
         self.limits = []  # [identity, requests a second, from, until]
         self.failures = []  # Of the operator itself.
+        self.over_at = 0.0  # When the last step had ended.
         self._busy = {node.number: threading.Lock() for node in fleet.nodes}
         self._backend_busy = {node.number: threading.Lock() for node in fleet.nodes}
         self._store_busy = threading.Lock()
@@ -76,8 +77,10 @@
             threads.append(threading.Thread(target=self._do, args=(step,), daemon=True))
             threads[-1].start()
         for thread in threads:
-            thread.join(20)
-        time.sleep(max(0.0, began + seconds - time.monotonic()))
+            thread.join(60)
+        # Steps wait for each other, so the last one may end late.
+        self.over_at = time.monotonic()
+        time.sleep(max(CALM_AT_END_SECONDS, began + seconds - time.monotonic()))
 
     def _do(self, step):
         try:
@@ -156,9 +159,11 @@
                 backend = node.backend
                 state = "draining" if backend.is_leaving else "ready"
                 self.fleet.store.write(f"servers/{backend.identity}", backend.entry(node.domain, state))
-            for identity, _ in self.leavings:
-                if all(node.backend.identity != identity for node in self.fleet.nodes):
-                    self.fleet.store.remove(f"servers/{identity}")
+            # Entries of starts that are gone lapse, for nobody writes them any more.
+            current = {node.backend.identity for node in self.fleet.nodes}
+            for backend in self.fleet.backends:
+                if backend.identity not in current:
+                    self.fleet.store.remove(f"servers/{backend.identity}")
             self.publications.append(self.fleet.publish())
         self._over(disturbance)
 
