Tests: Share the store's answers, the told nodes and the python tests' declaration

Ruled out: nothing; no behaviour, check or bound changes.

Change: answer_from_store(), told_at(), wagtailmount_python_test(), and the endless answers are a table of their own.

Measured: TestLibTrafficEndlessAnswers, Soak.judge (24 cases) and Process.catalog (12 cases) pass; ctest lists the same tests.

--- a/Meta/packages.cmake
+++ b/Meta/packages.cmake
@@ -8,6 +8,14 @@
   target_link_libraries(${NAME} PUBLIC ${ARG_LINKS} Threads::Threads)
 endfunction()
 
+# Declares the test PREFIX.NAME of real processes, run by python3 with the arguments. It has the machine to itself.
+function(wagtailmount_python_test PREFIX NAME)
+  add_test(NAME ${PREFIX}.${NAME} COMMAND python3 -B ${ARGN} WORKING_DIRECTORY ${CMAKE_CURRENT_SOURCE_DIR})
+  set_tests_properties(${PREFIX}.${NAME} PROPERTIES
+    LABELS process RUN_SERIAL TRUE TIMEOUT 240
+    ENVIRONMENT "WAGTAILMOUNT_BUILD=${PROJECT_BINARY_DIR}")
+endfunction()
+
 # Declares a Boost.Test program NAME and its run under ctest.
 function(wagtailmount_test NAME)
   cmake_parse_arguments(ARG "" "" "SOURCES;LINKS" ${ARGN})
--- a/Tests/LibTraffic/fake_backend_server.cc
+++ b/Tests/LibTraffic/fake_backend_server.cc
@@ -268,45 +268,14 @@
   }
 }
 
-bool fake_backend_server::SendEndlessAnswer(int socket,
-                                            const std::string& behaviour) {
-  struct endless_part {
-    const char* behaviour;
-    std::string begin;
-    std::string repeated;
-  };
-  const std::string status_line = "HTTP/1.1 200 OK\r\n";
-  const std::string chunked =
-      status_line + "Transfer-Encoding: chunked\r\n\r\n";
-  const std::string bytes(0x4000, 'x');
-  const endless_part parts[] = {
-      {"endless-status-line", "HTTP/1.1 200 ", bytes},
-      {"endless-header", status_line + "X-Long: ", bytes},
-      {"endless-headers", status_line, "X-One: more\r\n"},
-      {"endless-interim", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
-      {"endless-chunk-extension", chunked + "5;", bytes},
-      {"endless-trailer", chunked + "5\r\nhello\r\n0\r\nX-Long: ", bytes},
-      {"endless-trailers", chunked + "5\r\nhello\r\n0\r\n", "X-One: more\r\n"},
-      {"endless-chunks", chunked, "4000\r\n" + bytes + "\r\n"},
-      {"endless-body", status_line + "Content-Length: 9000000000000\r\n\r\n",
-       bytes},
-      {"endless-until-close", status_line + "Connection: close\r\n\r\n", bytes},
-      {"endless-garbage", "", bytes},
-      {"endless-after-answer", status_line + "Content-Length: 5\r\n\r\nhello",
-       bytes},
-  };
-  for (const endless_part& part : parts) {
-    if (behaviour != part.behaviour) {
-      continue;
-    }
-    ++endless_answers_;
-    bool is_open = SendAll(socket, part.begin);
-    while (is_open && !is_stopping_) {
-      is_open = SendAll(socket, part.repeated);
-    }
-    --endless_answers_;
-  }
-  return false;
+void fake_backend_server::SendUntilClosed(int socket,
+                                          const endless_answer& answer) {
+  ++endless_answers_;
+  bool is_open = SendAll(socket, answer.begin);
+  while (is_open && !is_stopping_) {
+    is_open = SendAll(socket, answer.repeated);
+  }
+  --endless_answers_;
 }
 
 bool fake_backend_server::SendAnswer(int socket, const std::string& behaviour,
@@ -330,8 +299,9 @@
   if (behaviour == "hang") {
     return false;
   }
-  if (behaviour.starts_with("endless-")) {
-    return SendEndlessAnswer(socket, behaviour);
+  if (const auto endless = FindEndlessAnswer(behaviour)) {
+    SendUntilClosed(socket, *endless);
+    return false;
   }
   if (behaviour == "copy") {
     return send_complete_answer() && send_complete_answer();
--- a/Tests/LibTraffic/fake_backend_server.h
+++ b/Tests/LibTraffic/fake_backend_server.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "LibBase/endpoint.h"
+#include "Tests/LibTraffic/endless_answers.h"
 #include "Tests/free_endpoint.h"
 
 namespace wagtailmount::testing {
@@ -77,7 +78,7 @@
                          std::string& owed_copy);
   /// Spends the time that a behaviour takes before its answer.
   void Run(int socket, const std::string& behaviour);
-  bool SendEndlessAnswer(int socket, const std::string& behaviour);
+  void SendUntilClosed(int socket, const endless_answer& answer);
   bool SendAnswer(int socket, const std::string& behaviour,
                   const std::string& id, const std::string& method,
                   const std::string& body, std::string& owed_copy);
--- a/Tests/Process/catalog_stand_ins.py
+++ b/Tests/Process/catalog_stand_ins.py
@@ -49,6 +49,27 @@
         self._http.server_close()
 
 
+def answer_from_store(handler, store):
+    """Answers one call to the store over a handler of Answering."""
+    path, _, query = handler.path.partition("?")
+    asked = dict(part.partition("=")[::2] for part in query.split("&"))
+    if store.is_down:
+        handler.answer(503)
+        return
+    if path == "/kv-range":
+        document = store.page(urllib.parse.unquote(asked.get("after", "")))
+    elif path == "/kv-watch":
+        document = store.watch(int(asked["after"]), int(asked["wait-ms"]) / 1000)
+        if document is None:
+            handler.answer(410, headers=[("Store-Era", str(store.era))])
+            return
+    else:
+        handler.answer(404)
+        return
+    handler.answer(200, json.dumps(document).encode(),
+                   [("Content-Type", "application/json"), ("Store-Era", str(store.era))])
+
+
 class Store:
     """The platform's store: items by key, one revision counter, waiting watches."""
 
@@ -65,25 +86,8 @@
 
         class Handler(Answering):
             def do_GET(self):
-                path, _, query = self.path.partition("?")
-                asked = dict(part.partition("=")[::2] for part in query.split("&"))
                 store.calls += 1
-                if store.is_down:
-                    self.answer(503)
-                elif path == "/kv-range":
-                    self.reply(store.page(urllib.parse.unquote(asked.get("after", ""))))
-                elif path == "/kv-watch":
-                    changes = store.watch(int(asked["after"]), int(asked["wait-ms"]) / 1000)
-                    if changes is None:
-                        self.answer(410, headers=[("Store-Era", str(store.era))])
-                    else:
-                        self.reply(changes)
-                else:
-                    self.answer(404)
-
-            def reply(self, document):
-                self.answer(200, json.dumps(document).encode(),
-                            [("Content-Type", "application/json"), ("Store-Era", str(store.era))])
+                answer_from_store(self, store)
 
         self._server = Server(address, Handler)
 
--- a/Tests/Soak/soak_fleet.py
+++ b/Tests/Soak/soak_fleet.py
@@ -12,11 +12,10 @@
 import tempfile
 import threading
 import time
-import urllib.parse
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "Process"))
 
-from catalog_stand_ins import Answering, Server, Store, configuration  # noqa: E402
+from catalog_stand_ins import Answering, Server, Store, answer_from_store, configuration  # noqa: E402
 from processes import PROGRAMS, Ports, Process  # noqa: E402
 
 SERVICES = ("ledger", "casefile")
@@ -34,8 +33,6 @@
 
         class Handler(Answering):
             def do_GET(self):
-                path, _, query = self.path.partition("?")
-                asked = dict(part.partition("=")[::2] for part in query.split("&"))
                 if front.fault == "silent":
                     time.sleep(5)
                 if front.fault in ("silent", "reset"):
@@ -43,22 +40,10 @@
                     return
                 if front.fault == "slow":
                     time.sleep(0.4)
-                if front.fault == "busy" or store.is_down:
+                if front.fault == "busy":
                     self.answer(503)
-                elif path == "/kv-range":
-                    self.reply(store.page(urllib.parse.unquote(asked.get("after", ""))))
-                elif path == "/kv-watch":
-                    changes = store.watch(int(asked["after"]), int(asked["wait-ms"]) / 1000)
-                    if changes is None:
-                        self.answer(410, headers=[("Store-Era", str(store.era))])
-                    else:
-                        self.reply(changes)
                 else:
-                    self.answer(404)
-
-            def reply(self, document):
-                self.answer(200, json.dumps(document).encode(),
-                            [("Content-Type", "application/json"), ("Store-Era", str(store.era))])
+                    answer_from_store(self, store)
 
         self._server = Server(address, Handler)
 
--- a/Tests/Soak/soak_judge.py
+++ b/Tests/Soak/soak_judge.py
@@ -41,6 +41,15 @@
                    each.kind.startswith(("kill", "terminate", "freeze")) for each in self.disturbances)
 
 
+def told_at(record, what):
+    """When a node first passed on an answer of a backend server that says `what`: (node, identity) -> time."""
+    told = {}
+    for each in sorted(record.attempts, key=lambda attempt: attempt.ended):
+        if getattr(each, what):
+            told.setdefault((each.node, each.stamp), each.ended)
+    return told
+
+
 def twice(record):
     for request_id, runs in record.runs.items():
         attempt = record.by_id.get(request_id)
@@ -67,10 +76,7 @@
 
 def drained(record):
     """By the platform's acknowledgement, for calm nodes; by the answers that a node passed on, for all."""
-    told = {}
-    for each in sorted(record.attempts, key=lambda attempt: attempt.ended):
-        if each.is_leaving_stated:
-            told.setdefault((each.node, each.stamp), each.ended)
+    told = told_at(record, "is_leaving_stated")
     published = dict(record.leavings)
     owners = {backend.identity: int(backend.address.split(":")[0].split(".")[3]) - 2 for backend in record.backends}
     for backend in record.backends:
@@ -91,10 +97,7 @@
 
 
 def limited(record):
-    told = {}
-    for each in sorted(record.attempts, key=lambda attempt: attempt.ended):
-        if each.is_limit_named:
-            told.setdefault((each.node, each.stamp), each.ended)
+    told = told_at(record, "is_limit_named")
     arrivals = {backend.identity: backend.arrivals for backend in record.backends}
     for identity, limit, begin, end in record.limits:
         counted = []
