LibTraffic: Lift no rate limit by a request for another start

A backend server that named 2 requests a second got 68 in 4 s where 17 are allowed.

A node that knows only an earlier start of the backend server names that one and is refused as misdirected. The owner took the refusal for an answer of the start that was named, of which it knew no limit, and lifted the limit of the one that runs. In the same way a limit passed on by such a node would have been set.

Ruled out: answers that are garbled or lack the proof of origin; they change no record.

Change: an answer that may come from another start states nothing at all, and a limit passed on by another node counts only until this process has read any answer of its backend server.

Measured: ARequestForAnotherStartDoesNotLiftALimit failed before and passes; TestLibTrafficRateLimit five runs of five, TestLibTrafficStatedLeaving and TestLibTrafficPath pass.

--- a/Libraries/LibTraffic/backend_statements.cc
+++ b/Libraries/LibTraffic/backend_statements.cc
@@ -6,14 +6,14 @@
 
 namespace wagtailmount::detail {
 
-backend_statement ReadStatement(const http_response& answer,
-                                const request_fields& fields) {
+std::optional<backend_statement> ReadStatement(const http_response& answer,
+                                               const request_fields& fields) {
   const bool has_proof = fields.proof_of_origin.empty() ||
                          !FieldOf(answer, fields.proof_of_origin).empty();
   const bool is_misdirected =
       answer.result() == http::status::misdirected_request;
   if (is_misdirected || (IsSuccess(answer) && !has_proof)) {
-    return {};
+    return std::nullopt;
   }
   backend_statement statement;
   statement.is_complete = has_proof;
@@ -43,10 +43,10 @@
 
 bool backend_statements::RecordFromPeer(std::string_view id,
                                         double rate_limit) {
-  const std::lock_guard lock{mutex_};
-  if (answered_id_ == id) {
+  if (has_answered_) {
     return false;
   }
+  const std::lock_guard lock{mutex_};
   const time_point now = clock_.Now();
   backend_statement statement;
   statement.rate_limit = rate_limit;
@@ -55,13 +55,6 @@
   return true;
 }
 
-void backend_statements::SetAnswered(std::string_view id) {
-  const std::lock_guard lock{mutex_};
-  if (answered_id_ != id) {
-    answered_id_ = id;
-  }
-}
-
 void backend_statements::LogStarts(std::string_view id, std::uint64_t total) {
   constexpr std::chrono::seconds kInterval{1};
   const auto limit = RateLimitOf(id);
--- a/Libraries/LibTraffic/backend_statements.h
+++ b/Libraries/LibTraffic/backend_statements.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <mutex>
 #include <optional>
-#include <string>
 #include <string_view>
 
 #include "LibLoad/statement_memory.h"
@@ -14,11 +13,11 @@
 
 namespace wagtailmount::detail {
 
-/// Reads what the backend server that sent `answer` states about itself. What
-/// is not proved to come from the backend server that was meant, such as a
-/// refusal as misdirected, states nothing.
-backend_statement ReadStatement(const http_response& answer,
-                                const request_fields& fields);
+/// Reads what the backend server that sent `answer` states about itself;
+/// nothing if it may be another than the one that was meant: it refused the
+/// request as misdirected, or sent a success without proof of its origin.
+std::optional<backend_statement> ReadStatement(const http_response& answer,
+                                               const request_fields& fields);
 
 /// What backend servers stated about themselves, shared by all traffic threads.
 class backend_statements {
@@ -32,12 +31,12 @@
                                   const backend_statement& statement);
 
   /// Records a rate limit that another node knows. It counts only while this
-  /// process has read no answer of the backend server itself. Returns whether
-  /// it counts.
+  /// process has read no answer of its VM's backend server itself. Returns
+  /// whether it counts.
   bool RecordFromPeer(std::string_view id, double rate_limit);
 
-  /// States that this process has read an answer of the backend server.
-  void SetAnswered(std::string_view id);
+  /// States that this process has read an answer of its VM's backend server.
+  void SetAnswered() { has_answered_ = true; }
 
   /// Logs what a statement changed.
   void Log(std::string_view id, const backend_statement& statement,
@@ -60,10 +59,9 @@
   structured_log* const log_;
   mutable std::mutex mutex_;
   statement_memory memory_;
-  /// The backend server of this VM that answered last.
-  std::optional<std::string> answered_id_;
   std::uint64_t total_at_last_log_ = 0;
   time_point last_log_{};
+  std::atomic<bool> has_answered_{false};
   /// Spares the requests of a quiet time the lock.
   std::atomic<bool> is_empty_{true};
 };
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -185,10 +185,10 @@
       return;
     }
     backend_statement statement;
+    statement.is_leaving = ended.is_backend_leaving;
     if (ended.answer) {
-      statement = ReadStatement(ended.answer->message, state_.settings.fields);
-    } else {
-      statement.is_leaving = ended.is_backend_leaving;
+      statement = ReadStatement(ended.answer->message, state_.settings.fields)
+                      .value_or(backend_statement{});
     }
     state_.statements.Record(asked_at, chosen.backend_server_id, statement);
   }
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -130,11 +130,13 @@
   const request_fields& fields = state.settings.fields;
   const std::string_view id =
       FieldOf(incoming.request.message, fields.expected_backend_server);
-  const backend_statement statement =
-      ReadStatement(result.answer->message, fields);
-  state.statements.SetAnswered(id);
-  state.statements.Log(id, statement,
-                       state.statements.Record(asked_at, id, statement));
+  const auto statement = ReadStatement(result.answer->message, fields);
+  if (!statement) {
+    return;
+  }
+  state.statements.SetAnswered();
+  state.statements.Log(id, *statement,
+                       state.statements.Record(asked_at, id, *statement));
   state.statements.LogStarts(id, state.counters.owner_admitted);
   state.gate.SetRateLimit(state.statements.RateLimitOf(id));
 }
--- a/Tests/LibTraffic/fake_backend_server.cc
+++ b/Tests/LibTraffic/fake_backend_server.cc
@@ -238,7 +238,7 @@
     const std::lock_guard lock{mutex_};
     last_request_head_ = head;
     received_at_.push_back(std::chrono::steady_clock::now());
-    if (behaviour != "not-run") {
+    if (behaviour != "not-run" && behaviour != "misdirected") {
       ++runs_;
       ++runs_by_id_[id];
     }
@@ -363,6 +363,11 @@
                    "HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\n"
                    "Content-Length: 0\r\n\r\n");
   }
+  if (behaviour == "misdirected") {
+    return SendAll(socket,
+                   "HTTP/1.1 421 Misdirected Request\r\nX-Not-Run: true\r\n"
+                   "Content-Length: 0\r\n\r\n");
+  }
   if (behaviour == "garbage") {
     SendAll(socket, "this is not HTTP at all\r\n\r\n");
     return false;
--- a/Tests/LibTraffic/fake_backend_server.h
+++ b/Tests/LibTraffic/fake_backend_server.h
@@ -33,6 +33,7 @@
 ///   long-until-close-cut  the same with a body too long for a node to buffer
 ///   wrong-id          answers with the X-Request-Id of another request
 ///   not-run           503 with X-Not-Run: true, without running the request
+///   misdirected       421 with X-Not-Run: true, without running the request
 ///   copy              answers twice
 ///   late-copy         answers; a second copy precedes the next answer
 ///   garbage           answers with bytes that are not HTTP
--- a/Tests/LibTraffic/test_rate_limit.cc
+++ b/Tests/LibTraffic/test_rate_limit.cc
@@ -182,6 +182,31 @@
   BOOST_TEST(limited.MaximumReceived(named, kWindow) > 0);
 }
 
+// Nodes that know only an earlier start of the backend server name that one;
+// the refusal of such a request says nothing of its limit.
+BOOST_AUTO_TEST_CASE(ARequestForAnotherStartDoesNotLiftALimit) {
+  constexpr double kLimit = 2.0;
+  Publish([](wagtailmount::upstream& each) {
+    each.is_leaving = each.vm != "vm-1";
+  });
+  auto& limited = *Owner(1).backend_server;
+  limited.SetAnswerFields("X-Backend-Rate-Limit: 2\r\n");
+  const std::vector<endpoint> addresses(24, Entry().caller_address);
+  steady_callers callers{addresses, "X-Fake: slow\r\n"};
+  std::this_thread::sleep_for(milliseconds{1'500});
+  const auto named = steady_clock::now();
+  while (steady_clock::now() < named + kWindow) {
+    Call(Owner(1).hop_address, "POST", "/",
+         "X-Request-Id: stale\r\nX-Backend-Id: earlier\r\n"
+         "X-Fake: misdirected\r\nWagtailmount-Hop: vm-1 ledger 900 0 1\r\n",
+         "amount=20");
+    std::this_thread::sleep_for(milliseconds{50});
+  }
+  callers.Stop();
+  BOOST_TEST(limited.MaximumReceived(named, kWindow) <=
+             MaximumWithinWindow(kLimit));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(rate_limit_without_ids_suite)
