--- a/Libraries/LibLoad/admission_controller.cc
+++ b/Libraries/LibLoad/admission_controller.cc
@@ -303,9 +303,9 @@
     return Slots();
   }
   const double running = std::ceil(*rate_.Rate() * SecondsOf(mean_duration_));
-  return std::clamp<std::size_t>(
-      static_cast<std::size_t>(std::min(running, 1.0 * Slots())), 1,
-      std::max<std::size_t>(1, Slots()));
+  const auto slots = static_cast<double>(Slots());
+  return static_cast<std::size_t>(
+      std::clamp(running, 1.0, std::max(1.0, slots)));
 }
 
 }  // namespace wagtailmount
