Tests/LibTraffic: Share how the rate-limit cases leave one upstream in use

Ruled out: a change of a check, bound or case; all eight cases stay.

Change: PublishOnlyTheFirst() in the fixture.

--- a/Tests/LibTraffic/test_rate_limit.cc
+++ b/Tests/LibTraffic/test_rate_limit.cc
@@ -78,6 +78,13 @@
 struct rate_limit_fixture : traffic_fixture {
   rate_limit_fixture() : traffic_fixture(2, Options()) {}
 
+  // Leaves vm-1 as the only upstream in use.
+  void PublishOnlyTheFirst() {
+    Publish([](wagtailmount::upstream& each) {
+      each.is_leaving = each.vm != "vm-1";
+    });
+  }
+
   // Callers at the entry and at the owner itself.
   std::vector<endpoint> CallerAddresses() {
     return {Entry().caller_address, Entry().caller_address,
@@ -91,9 +98,7 @@
 
 BOOST_AUTO_TEST_CASE(ABackendServerGetsNoMoreThanTheRateLimitThatItNames) {
   constexpr double kLimit = 10.0;
-  Publish([](wagtailmount::upstream& each) {
-    each.is_leaving = each.vm != "vm-1";
-  });
+  PublishOnlyTheFirst();
   auto& limited = *Owner(1).backend_server;
   steady_callers callers{CallerAddresses()};
   BOOST_REQUIRE(Eventually([&] { return limited.TotalRuns() > 20; }));
@@ -127,9 +132,7 @@
 
 // A limit holds for as long as the answers name it.
 BOOST_AUTO_TEST_CASE(ARateLimitEndsWithTheFirstAnswerThatNamesNone) {
-  Publish([](wagtailmount::upstream& each) {
-    each.is_leaving = each.vm != "vm-1";
-  });
+  PublishOnlyTheFirst();
   auto& limited = *Owner(1).backend_server;
   limited.SetAnswerFields("X-Backend-Rate-Limit: 2\r\n");
   steady_callers callers{CallerAddresses()};
@@ -143,9 +146,7 @@
 // A backend server that takes nothing at all must be asked at times, or nobody
 // would learn that it takes requests again.
 BOOST_AUTO_TEST_CASE(ABackendServerThatNamedALimitOfZeroIsAskedAgain) {
-  Publish([](wagtailmount::upstream& each) {
-    each.is_leaving = each.vm != "vm-1";
-  });
+  PublishOnlyTheFirst();
   auto& limited = *Owner(1).backend_server;
   limited.SetAnswerFields("X-Backend-Rate-Limit: 0\r\n");
   steady_callers callers{CallerAddresses()};
@@ -163,10 +164,7 @@
 // make the backend server get them all.
 BOOST_AUTO_TEST_CASE(ARestartedOwnerKeepsToTheLimitThatOtherNodesKnow) {
   constexpr double kLimit = 2.0;
-  const auto leave_one = [](wagtailmount::upstream& each) {
-    each.is_leaving = each.vm != "vm-1";
-  };
-  Publish(leave_one);
+  PublishOnlyTheFirst();
   auto& limited = *Owner(1).backend_server;
   limited.SetAnswerFields("X-Backend-Rate-Limit: 2\r\n");
   const std::vector<endpoint> addresses(24, Entry().caller_address);
@@ -174,7 +172,7 @@
   std::this_thread::sleep_for(milliseconds{2'000});
   const auto named = steady_clock::now();
   RestartOwner(1);
-  Publish(leave_one);
+  PublishOnlyTheFirst();
   std::this_thread::sleep_for(kWindow);
   callers.Stop();
   BOOST_TEST(limited.MaximumReceived(named, kWindow) <=
@@ -186,9 +184,7 @@
 // the refusal of such a request says nothing of its limit.
 BOOST_AUTO_TEST_CASE(ARequestForAnotherStartDoesNotLiftALimit) {
   constexpr double kLimit = 2.0;
-  Publish([](wagtailmount::upstream& each) {
-    each.is_leaving = each.vm != "vm-1";
-  });
+  PublishOnlyTheFirst();
   auto& limited = *Owner(1).backend_server;
   limited.SetAnswerFields("X-Backend-Rate-Limit: 2\r\n");
   const std::vector<endpoint> addresses(24, Entry().caller_address);
@@ -236,9 +232,7 @@
 BOOST_FIXTURE_TEST_SUITE(malformed_rate_limit_suite, rate_limit_fixture)
 
 BOOST_AUTO_TEST_CASE(AMalformedRateLimitChangesNothing) {
-  Publish([](wagtailmount::upstream& each) {
-    each.is_leaving = each.vm != "vm-1";
-  });
+  PublishOnlyTheFirst();
   auto& backend = *Owner(1).backend_server;
   for (const char* const limit : {"-1", "nan", "inf", "1e3", "ten", "5 5"}) {
     backend.SetAnswerFields("X-Backend-Rate-Limit: " + std::string{limit} +
