LibTraffic: Log which requests ran at a backend server that crashed

Cause: the log names a request by its id, which is new with each repeat, and calls a reset connection and a crash the same, `connection-lost`.

Ruled out: naming requests by path or body; both may be long or confidential.

Change: after an exchange is lost, the owner opens the next connection at once. If it is refused, the backend server has crashed, and `backend-crashed` names its id and the request's fingerprint, a digest of method, host, target, service of the caller and body. If it is accepted, it is kept for the next request, which would have opened it. Nothing is decided by it.

--- a/Libraries/LibTraffic/connection_pool.cc
+++ b/Libraries/LibTraffic/connection_pool.cc
@@ -66,9 +66,9 @@
 }
 
 task<std::unique_ptr<http_connection>> Connect(const endpoint& target,
-                                               duration connect_timeout) {
+                                               duration connect_timeout,
+                                               error_code& failure) {
   const auto executor = co_await boost::asio::this_coro::executor;
-  error_code failure;
   const auto address = boost::asio::ip::make_address(target.address, failure);
   if (failure) {
     co_return nullptr;
@@ -80,8 +80,9 @@
   if (failure) {
     co_return nullptr;
   }
+  error_code ignored;
   connection->stream.socket().set_option(boost::asio::ip::tcp::no_delay{true},
-                                         failure);
+                                         ignored);
   // A connection can stop delivering data without a reset while new connections
   // to the same peer work.
   const unsigned timeout = kUnacknowledgedTimeoutMilliseconds;
@@ -90,4 +91,10 @@
   co_return connection;
 }
 
+task<std::unique_ptr<http_connection>> Connect(const endpoint& target,
+                                               duration connect_timeout) {
+  error_code ignored;
+  co_return co_await Connect(target, connect_timeout, ignored);
+}
+
 }  // namespace wagtailmount::detail
--- a/Libraries/LibTraffic/connection_pool.h
+++ b/Libraries/LibTraffic/connection_pool.h
@@ -33,7 +33,10 @@
 };
 
 /// Opens a connection; null when that fails or takes longer than
-/// `connect_timeout`.
+/// `connect_timeout`, with the reason in `failure`.
+task<std::unique_ptr<http_connection>> Connect(const endpoint& target,
+                                               duration connect_timeout,
+                                               error_code& failure);
 task<std::unique_ptr<http_connection>> Connect(const endpoint& target,
                                                duration connect_timeout);
 
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -4,6 +4,7 @@
 
 #include "LibLoad/retry.h"
 #include "LibLoad/start_check.h"
+#include "LibTraffic/backend_crash.h"
 #include "LibTraffic/header_fields.h"
 
 namespace wagtailmount::detail {
@@ -89,17 +90,6 @@
   co_return connection;
 }
 
-// Keeps the connection for reuse if the limit on idle connections allows.
-void KeepConnection(traffic_worker& worker,
-                    std::unique_ptr<http_connection> connection) {
-  traffic_state& state = worker.state;
-  connection->permit = state.gate.TryAcquireIdlePermit();
-  if (connection->permit.IsHeld()) {
-    worker.pool.Keep(state.settings.backend_server, std::move(connection),
-                     state.clock.Now());
-  }
-}
-
 void LogRefusal(traffic_state& state, const owner_request& incoming,
                 refusal_cause cause) {
   if (state.log == nullptr) {
@@ -201,7 +191,7 @@
   if (acquired.refused != refusal_cause::kNone) {
     acquired.slot.SetUse(slot_use::kNotSent);
     if (connection != nullptr) {
-      KeepConnection(worker, std::move(connection));
+      worker.KeepBackendConnection(std::move(connection));
     }
     ++state.counters.owner_refused;
     LogRefusal(state, incoming, acquired.refused);
@@ -228,7 +218,14 @@
       incoming.watch);
   RecordStatement(state, incoming, result, now);
   if (connection != nullptr) {
-    KeepConnection(worker, std::move(connection));
+    worker.KeepBackendConnection(std::move(connection));
+  }
+  if (IsLostInExchange(result.outcome) &&
+      !incoming.watch.HasClientDisconnected()) {
+    const bool has_crashed = co_await HasBackendServerCrashed(worker);
+    if (has_crashed) {
+      LogCrash(state, incoming);
+    }
   }
   const bool has_reached_backend_server =
       result.outcome != attempt_outcome::kClosedBeforeFirstByte;
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -56,6 +56,15 @@
   co_return has_request;
 }
 
+void traffic_worker::KeepBackendConnection(
+    std::unique_ptr<http_connection> connection) {
+  connection->permit = state.gate.TryAcquireIdlePermit();
+  if (connection->permit.IsHeld()) {
+    pool.Keep(state.settings.backend_server, std::move(connection),
+              state.clock.Now());
+  }
+}
+
 void traffic_worker::CloseIdleClients() {
   for (http_connection* const client : idle_clients) {
     // A request that has just been read is not affected, and is served.
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -121,6 +121,10 @@
   /// Waits for the next request of a client; false when there will be none.
   task<bool> WaitForClient(http_connection& client, duration idle_timeout);
 
+  /// Keeps a connection to the backend server for reuse if the limit on idle
+  /// connections allows.
+  void KeepBackendConnection(std::unique_ptr<http_connection> connection);
+
   /// Ends the wait for all clients, and with it their connections. What such a
   /// client sends from then on stays unread, and the reset tells it so.
   void CloseIdleClients();
