Tests/Soak: Show that a request that crashes backend servers is not stopped

Nothing connects the attempts of one request, so each repeat takes one more backend server.

Change: the soak's backend servers crash when they begin to run a request with a certain body, and come back as another start. The judge counts what reaches them later than `contact` after the third crash, from calm nodes; three are allowed by the rule. Three cases show that it finds the breach and leaves alone what is allowed. The stand-ins' servers look for their end each 20 ms, for a crash must close the listener first.

--- a/Tests/Process/catalog_stand_ins.py
+++ b/Tests/Process/catalog_stand_ins.py
@@ -42,7 +42,7 @@
     def __init__(self, address, handler):
         host, port = address.split(":")
         self._http = QuietServer((host, int(port)), handler)
-        threading.Thread(target=self._http.serve_forever, daemon=True).start()
+        threading.Thread(target=self._http.serve_forever, args=(0.02,), daemon=True).start()
 
     def stop(self):
         self._http.shutdown()
--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -29,14 +29,15 @@
         load = Callers(fleet, seed, callers)
         operator.run(seconds)
         load.stop()
-        record = Record(load.attempts, fleet.backends, operator)
+        record = Record([*load.attempts, *operator.attempts], fleet.backends, operator)
         found = [*operator.failures, *breaches(record, operator.over_at + SETTLE_SECONDS)]
         served = sum(each.status == 200 for each in load.attempts)
         refused = sum(each.status in (429, 503) for each in load.attempts)
         failures = collections.Counter(each.failure for each in load.attempts if each.failure)
         print(f"{len(load.attempts)} requests, {served} served, {refused} refused as not run, "
               f"{sum(each.status == 0 for each in load.attempts)} without an answer {dict(failures)}; {len(operator.limits)} limits, "
-              f"{len(operator.leavings)} leavings, {len(operator.publications)} versions")
+              f"{len(operator.leavings)} leavings, {len(operator.publications)} versions, "
+              f"{len(operator.attempts)} lethal requests")
     finally:
         fleet.close(keep or bool(found))
     for line in found[:20]:
--- a/Tests/Soak/soak_callers.py
+++ b/Tests/Soak/soak_callers.py
@@ -62,14 +62,14 @@
             self._is_stopped.wait(chance.uniform(0, 2 * self.pause))
 
 
-def send(node, connection, method, path, request_id):
+def send(node, connection, method, path, request_id, body=None):
     """Sends one request; returns how it ended, and the connection if it is kept."""
     attempt = Attempt(request_id, method, node.number, time.monotonic(), path)
     if connection is not None and select.select([connection.sock], [], [], 0)[0]:
         connection.close()
         connection = None
     attempt.is_kept = connection is not None
-    body = f"of-{request_id}" if method == "POST" else None
+    body = body or (f"of-{request_id}" if method == "POST" else None)
     try:
         if connection is None:
             connection = http.client.HTTPConnection(node.vm, int(node.ports["caller"]), timeout=4)
--- a/Tests/Soak/soak_fleet.py
+++ b/Tests/Soak/soak_fleet.py
@@ -22,6 +22,8 @@
 DOMAINS = ("hall-a", "hall-b", "hall-c")
 ROUTES = [("/balance/", "safe", "ledger"), ("/posting/", "unsafe", "ledger"), ("/history/", "safe", "casefile")]
 GRACE_SECONDS = 6
+# A backend server crashes when it begins to run a request with such a body; what follows tells one from another.
+LETHAL = b"lethal-"
 
 
 class StoreFront:
@@ -61,6 +63,9 @@
         self.is_leaving = False
         self.fault, self.fault_share = None, 0.0
         self.is_stopped = False
+        self.lethal_arrivals = []  # (body, request id, time) of requests that crash it, or would have.
+        self.on_crash = None  # Called once it has crashed.
+        self._crashing = threading.Lock()
         self._connections = set()
         chance = random.Random(seed)
         backend = self
@@ -87,6 +92,12 @@
                     self.answer(503, headers=[("X-Not-Executed", "1"), ("X-Request-Id", request_id), *backend.stated()])
                     return
                 backend.runs.append((request_id, now))
+                if body.startswith(LETHAL):
+                    backend.lethal_arrivals.append((body, request_id, now))
+                    time.sleep(0.05)
+                    backend.crash()
+                    self.close_connection = True
+                    return
                 time.sleep(chance.uniform(0.005, 0.03) * (8 if fault == "slow" else 1))
                 self.answer_run(fault, request_id, body)
 
@@ -130,6 +141,14 @@
         return {"service": self.service, "address": self.address, "zone": domain, "config-version": "v1", "slots": 8,
                 "state": state, "cold-remaining": "0ms", "seq": 1}
 
+    def crash(self):
+        with self._crashing:
+            if self.is_stopped:
+                return
+            self.stop()
+        if self.on_crash:
+            self.on_crash(self)
+
     def stop(self):
         """Ends it as a process ends: with its connections."""
         self.is_stopped = True
@@ -189,6 +208,7 @@
         self.version = 1
         self.starts = 0
         self.backends = []  # Every start there was.
+        self.on_backend_crash = None  # Called with the node and the start that crashed.
         self.lock = threading.Lock()
         self.publish()
         self.nodes = [SoakNode(number, numbers, self.folder, self.store) for number in range(size)]
@@ -215,6 +235,7 @@
             identity = f"i-{self.starts:04d}"
         node.backend = BackendServer(identity, f"{node.vm}:{node.ports['backend']}", node.service,
                                      f"{self.seed}-{identity}")
+        node.backend.on_crash = lambda gone: self.on_backend_crash and self.on_backend_crash(node, gone)
         self.backends.append(node.backend)
         self.store.write(f"servers/{identity}", node.backend.entry(node.domain))
 
--- a/Tests/Soak/soak_judge.py
+++ b/Tests/Soak/soak_judge.py
@@ -4,6 +4,7 @@
 import collections
 
 CONTACT_SECONDS = 3.0  # A node is calm when nothing was done to it for so long.
+ARRIVALS_AFTER_CRASHES = 3  # Of a request under which three backend servers have crashed.
 CONVERGE_SECONDS = 2.0
 DRAIN_SECONDS = 2.0
 TOLD_SECONDS = 0.5
@@ -13,6 +14,7 @@
 LOSS_SLACK_SECONDS = 0.2
 GRACE_SECONDS = 6.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+PROCESS_AND_STORE = ("kill", "terminate", "freeze", "store-front", "store")
 
 
 class Record:
@@ -179,6 +181,26 @@
             yield f"GRACE: node {each.node} was still there {GRACE_SECONDS} s after SIGTERM"
 
 
+def crashed(record):
+    """A request under which three backend servers crashed reaches few more, from calm nodes."""
+    arrivals = collections.defaultdict(list)
+    for backend in record.backends:
+        for body, request_id, at in getattr(backend, "lethal_arrivals", ()):
+            arrivals[body].append((at, backend.identity, request_id))
+    for body, arrived in arrivals.items():
+        crashes = {}
+        for at, identity, _ in sorted(arrived):
+            crashes.setdefault(identity, at)
+        if len(crashes) < 3:
+            continue
+        since = sorted(crashes.values())[2]
+        late = [request_id for at, _, request_id in arrived if at > since + CONTACT_SECONDS and record.is_calm(
+            record.by_id[request_id].node, record.by_id[request_id].sent, at, PROCESS_AND_STORE)]
+        if len(late) > ARRIVALS_AFTER_CRASHES:
+            yield (f"BUDGET: {body.decode()} reached backend servers {len(late)} times more after three had crashed "
+                   f"under it; {len(crashes)} crashed")
+
+
 def recovered(record, calm_from):
     """After the last fault, everything works again at all nodes."""
     last = [each for each in record.attempts if each.sent > calm_from and not each.path.startswith("/version-")]
@@ -189,7 +211,7 @@
             yield f"RECOVER: node {node} served {served} of {len(own)} requests at the end"
 
 
-PROMISES = (twice, refused, mixed, drained, limited, configured, lost, held, outlived)
+PROMISES = (twice, refused, mixed, drained, limited, configured, lost, held, outlived, crashed)
 
 
 def breaches(record, calm_from):
--- a/Tests/Soak/soak_schedule.py
+++ b/Tests/Soak/soak_schedule.py
@@ -5,7 +5,8 @@
 import threading
 import time
 
-from soak_fleet import GRACE_SECONDS, terminate
+from soak_callers import send
+from soak_fleet import GRACE_SECONDS, LETHAL, SERVICES, terminate
 
 DRAIN_SECONDS = 2.0
 WARM_UP_SECONDS = 4.0
@@ -44,6 +45,13 @@
                     "for": round(chance.uniform(0.3, 1) * longest, 2), "draw": round(chance.random(), 3)}
             self.steps.append(step)
             at += chance.choice((0.05, 0.5, 1.0, 2.0))
+        # Drawn apart, so that the seeds of earlier findings draw what they drew then.
+        chance = random.Random(f"lethal requests {seed}")
+        for _ in range(chance.choice((0, 1, 1, 2))):
+            at = chance.uniform(WARM_UP_SECONDS, max(WARM_UP_SECONDS, seconds - CALM_AT_END_SECONDS))
+            self.steps.append({"at": round(at, 2), "kind": "lethal-request", "node": 0,
+                               "for": round(chance.uniform(3, 9), 2), "draw": round(chance.random(), 3)})
+        self.steps.sort(key=lambda step: step["at"])
 
     def lines(self):
         return [f"{step['at']:6.2f} s {step['kind']} node {step['node']} for {step['for']} s, draw {step['draw']}"
@@ -64,6 +72,9 @@
         self.leavings = []  # (identity, acknowledged at)
         self.limits = []  # [identity, requests a second, from, until]
         self.failures = []  # Of the operator itself.
+        self.attempts = []  # Requests that crash backend servers.
+        self._come_backs = []
+        fleet.on_backend_crash = self._crashed
         self.over_at = 0.0  # When the last step had ended.
         self._busy = {node.number: threading.Lock() for node in fleet.nodes}
         self._backend_busy = {node.number: threading.Lock() for node in fleet.nodes}
@@ -78,6 +89,8 @@
             threads[-1].start()
         for thread in threads:
             thread.join(60)
+        for thread in self._come_backs:
+            thread.join(60)
         # Steps wait for each other, so the last one may end late.
         self.over_at = time.monotonic()
         time.sleep(max(CALM_AT_END_SECONDS, began + seconds - time.monotonic()))
@@ -186,6 +199,35 @@
             self.fleet.start_backend(node)
         self._over(disturbance)
 
+    def _crashed(self, node, gone):
+        self._come_backs.append(threading.Thread(target=self._come_back, args=(node, gone), daemon=True))
+        self._come_backs[-1].start()
+
+    def _come_back(self, node, gone):
+        disturbance = self._disturb("backend", node)
+        time.sleep(1.5)
+        with self._backend_busy[node.number]:
+            self.fleet.store.remove(f"servers/{gone.identity}")
+            if node.backend is gone:
+                self.fleet.start_backend(node)
+        self._over(disturbance)
+
+    def _lethal_request(self, _, span, draw):
+        """A request that crashes every backend server that runs it comes again and again, of one calling service."""
+        chance = random.Random(draw)
+        service = Schedule.pick(SERVICES, chance.random())
+        entries = [node for node in self.fleet.nodes if node.service == service]
+        body = LETHAL.decode() + str(draw)
+        end = time.monotonic() + span
+        while time.monotonic() < end:
+            node = chance.choice(entries)
+            request_id = f"{body}.{len(self.attempts)}.{node.number}"
+            attempt, connection = send(node, None, "GET", "/history/7", request_id, body)
+            self.attempts.append(attempt)
+            if connection:
+                connection.close()
+            time.sleep(chance.uniform(0, 0.3))
+
     def _backend_leave(self, node, _, draw):
         """Leaves as planned: said in the entry, in the answers, or in both; the next start follows."""
         with self._backend_busy[node.number]:
--- a/Tests/Soak/test_soak_judge.py
+++ b/Tests/Soak/test_soak_judge.py
@@ -163,6 +163,27 @@
         self.disturb("terminate, outlived its grace period", 0, 19.0, 25.5)
         self.check("GRACE")
 
+    def crash(self, *seconds):
+        """Requests that crash one backend server after the other."""
+        self.backends += [types.SimpleNamespace(identity=f"c-{number}", address="127.0.0.4:1", arrivals=[], runs=[],
+                                                lethal_arrivals=[]) for number in range(len(seconds))]
+        for number, at in enumerate(seconds):
+            self.serve(f"lethal-{number}", sent=at, backend=3 + number, status=502, is_own=False, stamp="")
+            self.backends[3 + number].lethal_arrivals.append((b"lethal-1", f"lethal-{number}", at))
+
+    def test_a_request_that_goes_on_crashing_backend_servers(self):
+        self.crash(20.0, 20.2, 20.4, 24.0, 25.0, 26.0, 27.0)
+        self.check("BUDGET")
+
+    def test_a_request_that_crashed_backend_servers_and_was_stopped(self):
+        self.crash(20.0, 20.2, 20.4, 21.0, 23.0, 24.0, 25.0, 26.0)
+        self.check()
+
+    def test_a_crashing_request_at_nodes_that_were_cut_off(self):
+        self.disturb("store-front", 0, 22.0, 30.0)
+        self.crash(20.0, 20.2, 20.4, 24.0, 25.0, 26.0, 27.0)
+        self.check()
+
     def test_a_node_that_does_not_recover(self):
         for number in range(3):
             self.serve(f"failed-{number}", sent=END + 1, node=1, status=503, is_own=False, stamp="")
