LibTraffic: Quarantine requests that crash the backend servers that run them

Cause: nothing connected the attempts of one request. An entry took each lost connection for a failing backend server and tried the next one; what it had learned ended with the request, and repeats come with other ids at other nodes.

Evidence: `backend-crashed` names one fingerprint for each calling service under all crashed backend servers. Ruled out: own retries alone (13 of 71 lost attempts in the collected logs were second or later ones), and backend servers that end for another reason (each ended 0.1 s after it began such a request).

Reports of all nodes are merged: with the request itself between entry and owner, and over the control links, at once and to nodes that start later. Two crashes, of which one points to the request alone, quarantine it: entries and owners refuse it as not run, the owner again last of all before the start. A whole answer refutes what was known; requests that merely ran beside it go on being served, and of those with two crashes one runs at a backend server at a time, so that the next crash tells them apart. Both interfaces have it.

Why it works: it does not matter where a repeat enters or which owner gets it, for either side knows; and the knowledge is of the request, not of its id.

--- a/Libraries/LibLink/message.h
+++ b/Libraries/LibLink/message.h
@@ -9,6 +9,7 @@
 #include "LibCatalog/catalog.h"
 #include "LibConfig/acceptance.h"
 #include "LibConfig/configuration.h"
+#include "LibLoad/crash_report.h"
 #include "LibMembership/vm_record.h"
 
 namespace wagtailmount {
@@ -126,11 +127,17 @@
   std::chrono::milliseconds source_age{0};
 };
 
-using message =
-    std::variant<hello_message, offer_message, pull_message, manifest_message,
-                 files_request_message, files_message, refusal_message,
-                 membership_message, compare_message,
-                 membership_request_message, catalog_state_message,
-                 catalog_request_message, catalog_update_message>;
+/// Crashes of backend servers, with the requests that ran at them.
+struct crash_reports_message {
+  static constexpr std::size_t kMaximumReports = 128;
+
+  std::vector<crash_report> reports;
+};
+
+using message = std::variant<
+    hello_message, offer_message, pull_message, manifest_message,
+    files_request_message, files_message, refusal_message, membership_message,
+    compare_message, membership_request_message, catalog_state_message,
+    catalog_request_message, catalog_update_message, crash_reports_message>;
 
 }  // namespace wagtailmount
--- a/Libraries/LibLink/message_decoder.cc
+++ b/Libraries/LibLink/message_decoder.cc
@@ -266,6 +266,30 @@
   return read;
 }
 
+crash_report ReadCrashReport(const json& item, std::string& fault) {
+  constexpr std::size_t kItems = 6;
+  array_reader reader(item, "crash report", kItems, fault);
+  crash_report report;
+  report.request.head = reader.Number("head", kAnyNumber);
+  report.request.whole = ReadDigest(reader, "whole");
+  report.crash = reader.Number("crash", kAnyNumber);
+  report.depth = static_cast<std::uint32_t>(
+      reader.Number("depth", std::numeric_limits<std::uint32_t>::max()));
+  report.is_refuted = reader.Number("is refuted", 1) == 1;
+  report.age = ReadAge(reader, "age");
+  return report;
+}
+
+message ReadCrashReports(const json& fields, std::string& fault) {
+  array_reader reader(fields, "crash reports", 1, fault);
+  crash_reports_message sent;
+  sent.reports = ReadList(reader.Any(), fault, ReadCrashReport);
+  if (sent.reports.size() > crash_reports_message::kMaximumReports) {
+    reader.SetFault("reports", "are too many");
+  }
+  return sent;
+}
+
 message ReadCatalogState(const json& fields, std::string& fault) {
   constexpr std::size_t kItems = 4;
   array_reader reader(fields, "catalog state", kItems, fault);
@@ -309,7 +333,7 @@
     ReadRefusal,       ReadMembership,
     ReadCompare,       ReadMembershipRequest,
     ReadCatalogState,  ReadCatalogRequest,
-    ReadCatalogUpdate,
+    ReadCatalogUpdate, ReadCrashReports,
 };
 static_assert(kReaders.size() == std::variant_size_v<message>);
 
--- a/Libraries/LibLink/message_encoder.cc
+++ b/Libraries/LibLink/message_encoder.cc
@@ -114,6 +114,20 @@
   return json::array({request.bucket_hashes});
 }
 
+json ToCbor(const crash_report& report) {
+  return json::array({report.request.head, ToCbor(report.request.whole),
+                      report.crash, report.depth, report.is_refuted ? 1U : 0U,
+                      ToCbor(report.age)});
+}
+
+json FieldsOf(const crash_reports_message& sent) {
+  json reports = json::array();
+  for (const crash_report& each : sent.reports) {
+    reports.push_back(ToCbor(each));
+  }
+  return json::array({std::move(reports)});
+}
+
 json FieldsOf(const catalog_state_message& state) {
   return json::array(
       {state.complete_to, ToCbor(state.source_age), state.fast_vms, state.era});
--- a/Libraries/LibLoad/attempt_outcome.cc
+++ b/Libraries/LibLoad/attempt_outcome.cc
@@ -20,7 +20,7 @@
   bool is_caller_retry_useful;
 };
 
-constexpr std::array<cause_entry, 19> kCauses{{
+constexpr std::array<cause_entry, 20> kCauses{{
     {refusal_cause::kNone, "none", kUnavailable, false},
     {refusal_cause::kNoConfiguration, "no-configuration", kUnavailable, true},
     {refusal_cause::kDraining, "draining", kUnavailable, true},
@@ -39,6 +39,7 @@
     {refusal_cause::kMismatchedAnswer, "mismatched-answer", kBadGateway, false},
     {refusal_cause::kBodyLost, "body-lost", kBadRequest, false},
     {refusal_cause::kOverloaded, "overloaded", kUnavailable, true},
+    {refusal_cause::kQuarantined, "quarantined", kBadGateway, false},
     {refusal_cause::kUnknown, "unknown", kUnavailable, false},
 }};
 
--- a/Libraries/LibLoad/attempt_outcome.h
+++ b/Libraries/LibLoad/attempt_outcome.h
@@ -47,6 +47,7 @@
   kMismatchedAnswer,  ///< The answer has another request's ID.
   kBodyLost,          ///< The request's body was cut off.
   kOverloaded,        ///< The expected wait is longer than allowed.
+  kQuarantined,       ///< It crashes the backend servers that run it.
   kUnknown,           ///< The owner sent a name that is unknown here.
 };
 
--- a/Libraries/LibLoad/retry.cc
+++ b/Libraries/LibLoad/retry.cc
@@ -46,11 +46,13 @@
 constexpr std::array<std::string_view, 6> kIdempotentMethods{
     "GET", "HEAD", "OPTIONS", "TRACE", "PUT", "DELETE"};
 
-// After the deadline, or without a requester, another attempt is of no use.
+// After the deadline, without a requester, or for a request that crashes what
+// runs it, another attempt is of no use.
 bool RulesOutRetry(refusal_cause reported_cause) {
   return reported_cause == refusal_cause::kTooLate ||
          reported_cause == refusal_cause::kAbandoned ||
-         reported_cause == refusal_cause::kDeadline;
+         reported_cause == refusal_cause::kDeadline ||
+         reported_cause == refusal_cause::kQuarantined;
 }
 
 }  // namespace
--- a/Libraries/LibNode/catalog_control.h
+++ b/Libraries/LibNode/catalog_control.h
@@ -19,6 +19,7 @@
 #include "LibCatalog/reader_ranking.h"
 #include "LibCatalog/upstream_directory.h"
 #include "LibLog/structured_log.h"
+#include "LibNode/crash_report_relay.h"
 #include "LibNode/peer_links.h"
 #include "LibNode/settings.h"
 #include "LibRouting/routing_snapshot.h"
@@ -46,6 +47,13 @@
   void SetLinkHub(link_hub& hub) { links_.SetLinkHub(hub); }
   link_listener& LinkListener() { return links_; }
 
+  /// Sets where crash reports are kept. Must outlive the object.
+  void SetCrashReports(crash_report_store& store) {
+    crash_reports_.SetStore(store);
+  }
+  /// Sends what this node found out to its peers, without waiting for Tick().
+  void SendCrashReports() { crash_reports_.SendNews(); }
+
   /// Does all periodic work and everything whose time has come. Must be called
   /// every kTickPeriod.
   void Tick();
@@ -144,6 +152,7 @@
   upstream_directory directory_;
   reader_ranking ranking_;
   peer_links links_;
+  crash_report_relay crash_reports_{links_};
 
   std::shared_ptr<const configuration> in_force_;
   std::map<std::string, decoded_upstream, std::less<>> decoded_upstreams_;
--- a/Libraries/LibNode/catalog_control_peers.cc
+++ b/Libraries/LibNode/catalog_control_peers.cc
@@ -211,6 +211,7 @@
                      .has_been_fresh = false,
                      .ahead_since = {}};
   SendState(peer_vm, is_in_own_domain);
+  crash_reports_.OnPeerUp(peer_vm);
 }
 
 void catalog_control::OnPeerDown(const std::string& peer_vm,
@@ -229,6 +230,9 @@
     Handle(peer_vm, *request);
   } else if (const auto* sent = std::get_if<catalog_update_message>(&content)) {
     Handle(peer_vm, *sent);
+  } else if (const auto* reports =
+                 std::get_if<crash_reports_message>(&content)) {
+    crash_reports_.Handle(peer_vm, *reports);
   }
 }
 
--- a/Libraries/LibNode/catalog_node.cc
+++ b/Libraries/LibNode/catalog_node.cc
@@ -1,5 +1,6 @@
 #include "LibNode/catalog_node.h"
 
+#include <boost/asio/post.hpp>
 #include <csignal>
 #include <utility>
 
@@ -54,6 +55,10 @@
   }
   hub_ = *std::move(hub);
   control_->SetLinkHub(*hub_);
+  control_->SetCrashReports(traffic_->CrashReports());
+  traffic_->CrashReports().SetNewsListener([this] {
+    boost::asio::post(context_, [this] { control_->SendCrashReports(); });
+  });
   admin_ = std::make_unique<catalog_admin>(*control_, *traffic_, log_);
   auto admin = admin_server::Create(context_, settings_.admin, *admin_);
   if (!admin) {
--- a/Libraries/LibNode/control_plane.h
+++ b/Libraries/LibNode/control_plane.h
@@ -16,6 +16,7 @@
 #include "LibBase/random.h"
 #include "LibMembership/membership.h"
 #include "LibMembership/pause_detector.h"
+#include "LibNode/crash_report_relay.h"
 #include "LibNode/peer_links.h"
 #include "LibNode/settings.h"
 #include "LibRouting/routing_snapshot.h"
@@ -75,6 +76,13 @@
   }
   link_listener& LinkListener() { return links_; }
 
+  /// Sets where crash reports are kept. Must outlive the object.
+  void SetCrashReports(crash_report_store& store) {
+    crash_reports_.SetStore(store);
+  }
+  /// Sends what this node found out to its peers, without waiting for Tick().
+  void SendCrashReports() { crash_reports_.SendNews(); }
+
   /// Does all periodic work and everything whose time has come. Must be called
   /// every kTickPeriod.
   void Tick();
@@ -165,6 +173,7 @@
   folder_reader folder_reader_;
   vm_list_reader vm_list_reader_;
   peer_links links_;
+  crash_report_relay crash_reports_{links_};
   link_hub* hub_ = nullptr;
   pause_detector pause_detector_;
 
--- a/Libraries/LibNode/control_plane_peers.cc
+++ b/Libraries/LibNode/control_plane_peers.cc
@@ -64,6 +64,7 @@
   join_gate_.NoteHello(hello);
   Apply(spreader_.PeerUp(now, peer_vm, hello));
   RequestMembership(peer_vm);
+  crash_reports_.OnPeerUp(peer_vm);
   is_peer_choice_due_ = true;
 }
 
@@ -96,6 +97,10 @@
     HandleMembershipRequest(peer_vm, *request);
     return;
   }
+  if (const auto* reports = std::get_if<crash_reports_message>(&content)) {
+    crash_reports_.Handle(peer_vm, *reports);
+    return;
+  }
   if (const auto* compare = std::get_if<compare_message>(&content)) {
     CompareMembership(peer_vm, *compare);
   }
--- a/Libraries/LibNode/metrics_text.cc
+++ b/Libraries/LibNode/metrics_text.cc
@@ -12,7 +12,7 @@
   std::uint64_t traffic_counters::*value;
 };
 
-constexpr std::array<named_counter, 15> kTrafficCounters{{
+constexpr std::array<named_counter, 17> kTrafficCounters{{
     {"requests_total", &traffic_counters::requests},
     {"answered_ran_total", &traffic_counters::answered_ran},
     {"answered_may_have_run_total", &traffic_counters::answered_may_have_run},
@@ -25,6 +25,8 @@
     {"owner_admitted_limited_total", &traffic_counters::owner_admitted_limited},
     {"owner_refused_total", &traffic_counters::owner_refused},
     {"late_answers_dropped_total", &traffic_counters::late_answers_dropped},
+    {"backend_crashes_total", &traffic_counters::backend_crashes},
+    {"refused_quarantined_total", &traffic_counters::refused_quarantined},
     {"closed_crowded_total", &traffic_counters::closed_crowded},
     {"caller_connections", &traffic_counters::caller_connections},
     {"in_flight", &traffic_counters::in_flight},
--- a/Libraries/LibNode/node.cc
+++ b/Libraries/LibNode/node.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <boost/asio/post.hpp>
 #include <csignal>
 #include <utility>
 
@@ -59,6 +60,10 @@
   }
   hub_ = *std::move(hub);
   control_->SetLinkHub(*hub_);
+  control_->SetCrashReports(traffic_->CrashReports());
+  traffic_->CrashReports().SetNewsListener([this] {
+    boost::asio::post(context_, [this] { control_->SendCrashReports(); });
+  });
   admin_ = std::make_unique<node_admin>(*control_, *traffic_,
                                         [this] { BeginDrain(); });
   auto server = admin_server::Create(context_, settings_.admin, *admin_);
--- a/Libraries/LibNode/traffic_report.cc
+++ b/Libraries/LibNode/traffic_report.cc
@@ -40,6 +40,8 @@
           {"owner_admitted_limited", counters.owner_admitted_limited},
           {"owner_refused", counters.owner_refused},
           {"late_answers_dropped", counters.late_answers_dropped},
+          {"backend_crashes", counters.backend_crashes},
+          {"refused_quarantined", counters.refused_quarantined},
           {"in_flight", counters.in_flight}};
 }
 
--- a/Libraries/LibTraffic/answers.cc
+++ b/Libraries/LibTraffic/answers.cc
@@ -56,6 +56,9 @@
   if (refusal.has_reached_backend_server) {
     SetField(message, kArrivedField, "1");
   }
+  if (!refusal.crash_reports.empty()) {
+    SetField(message, kCrashesField, refusal.crash_reports);
+  }
   if (refusal.is_backend_leaving) {
     SetField(message, kBackendLeavingField, "1");
   }
--- a/Libraries/LibTraffic/answers.h
+++ b/Libraries/LibTraffic/answers.h
@@ -25,7 +25,8 @@
   std::string_view load;  ///< Reported load of this owner; empty leaves it out.
   std::string_view clock;  ///< Time of this owner; empty leaves it out.
   bool has_reached_backend_server = false;  ///< With part of the request.
-  bool is_backend_leaving = false;          ///< By its own answers.
+  std::string_view crash_reports;   ///< For another node; empty if none.
+  bool is_backend_leaving = false;  ///< By its own answers.
 };
 
 /// Writes a refusal; false when the connection failed.
--- a/Libraries/LibTraffic/backend_crash.h
+++ b/Libraries/LibTraffic/backend_crash.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include <cstdint>
-#include <string_view>
-
-#include "LibTraffic/owner.h"
+#include "LibLoad/attempt_outcome.h"
+#include "LibTraffic/traffic_state.h"
 
 namespace wagtailmount::detail {
 
@@ -16,7 +14,4 @@
 /// connection off accepts the next one, which is kept for another request.
 task<bool> HasBackendServerCrashed(traffic_worker& worker);
 
-/// Logs that a backend server crashed while it ran a request.
-void LogCrash(const traffic_state& state, const owner_request& incoming);
-
 }  // namespace wagtailmount::detail
--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -156,6 +156,9 @@
     if (!is_written) {
       co_return next_step::kCloseNow;
     }
+    if (result.answer->suspect) {
+      state_.quarantine.RecordAnswer(*result.answer->suspect);
+    }
     co_return is_kept_alive ? next_step::kKeepAlive
                             : next_step::kLingeringClose;
   }
@@ -220,6 +223,9 @@
 
   task<next_step> Refuse(verdict proved, refusal_cause cause) {
     CountVerdict(state_.counters, proved);
+    if (cause == refusal_cause::kQuarantined) {
+      ++state_.counters.refused_quarantined;
+    }
     const bool is_kept_alive =
         CanKeepAlive() && cause != refusal_cause::kBodyLost;
     refusal_answer refusal;
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "LibLoad/retry.h"
+#include "LibLoad/trial_upstream.h"
 #include "LibTraffic/header_fields.h"
 #include "LibTraffic/owner.h"
 #include "LibTraffic/owner_call.h"
@@ -32,6 +33,7 @@
     case refusal_cause::kTooLate:
       return attempt_signal::kOwnerRefused;
     case refusal_cause::kAbandoned:
+    case refusal_cause::kQuarantined:
       return attempt_signal::kInconclusive;
     case refusal_cause::kUnreachable:
       return attempt_signal::kUnreachable;
@@ -128,6 +130,19 @@
         result.attempts >= kMaximumOwnersTried) {
       return std::nullopt;
     }
+    const auto suspect = state_.quarantine.SuspectOf(incoming_.request);
+    const request_standing standing =
+        suspect ? state_.quarantine.StandingOf(*suspect)
+                : request_standing::kAllowed;
+    if (standing != request_standing::kAllowed) {
+      auto trial = standing == request_standing::kTrialDue
+                       ? ChooseForTrial(*suspect)
+                       : std::nullopt;
+      if (!trial && !result.answer) {
+        result.cause = refusal_cause::kQuarantined;
+      }
+      return trial;
+    }
     const arriving_request arriving{incoming_.deadline,
                                     incoming_.chosen_route.priority,
                                     incoming_.objective};
@@ -171,6 +186,17 @@
                                          worker_.random, wish);
   }
 
+  // The upstream for the trial of a request in quarantine; nothing if it has
+  // been tried.
+  std::optional<upstream_choice> ChooseForTrial(
+      const request_fingerprint& suspect) const {
+    const upstream* const chosen = TrialUpstream(upstreams_, suspect);
+    if (chosen == nullptr || !tried_.empty() || IsStatedToLeave(*chosen)) {
+      return std::nullopt;
+    }
+    return upstream_choice{chosen, choice_reason::kNear};
+  }
+
   // Whether this node passed on an answer in which the backend server states
   // that it leaves, or was told so by its owner.
   bool IsStatedToLeave(const upstream& candidate) const {
--- a/Libraries/LibTraffic/exchange.h
+++ b/Libraries/LibTraffic/exchange.h
@@ -2,6 +2,7 @@
 
 #include <memory>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "LibBase/clock.h"
@@ -23,6 +24,9 @@
   /// Refused by an owner whose backend server states that it leaves.
   bool is_backend_leaving = false;
   std::optional<owner_load> load;  ///< The owner's reported load.
+  /// The crashes that the owner knows under the request, as
+  /// FormatCrashReports() formats them.
+  std::string crash_reports;
 };
 
 /// Whether an answer must repeat the request's "X-Request-Id".
--- a/Libraries/LibTraffic/header_fields.h
+++ b/Libraries/LibTraffic/header_fields.h
@@ -31,6 +31,9 @@
     "Wagtailmount-Backend-Rate-Limit";
 /// In refusals: part of the request was sent to the backend server.
 inline constexpr std::string_view kArrivedField = "Wagtailmount-Arrived";
+/// In requests to an owner and its answers: the crashes that are known under
+/// the request, as FormatCrashReports() formats them.
+inline constexpr std::string_view kCrashesField = "Wagtailmount-Crashes";
 /// In refusals: the backend server states in its answers that it leaves.
 inline constexpr std::string_view kBackendLeavingField =
     "Wagtailmount-Backend-Leaving";
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -5,6 +5,7 @@
 #include "LibTraffic/header_fields.h"
 #include "LibTraffic/hop_text.h"
 #include "LibTraffic/owner.h"
+#include "LibTraffic/quarantine_check.h"
 #include "LibTraffic/request_reading.h"
 #include "LibTraffic/sessions.h"
 
@@ -100,6 +101,7 @@
     }
     const auto known_rate_limit =
         ParseRateLimit(FieldOf(request.message, kRateLimitField));
+    MergeCrashReports(state_, request, FieldOf(request.message, kCrashesField));
     RemoveHopByHopFields(request.message);
     SetFraming(request, parser_);
     disconnect_watcher watch{client_};
@@ -119,9 +121,14 @@
     FinishAnswer(*result.answer, id_, is_head_, is_kept_alive);
     SetField(result.answer->message, kLoadField, OwnLoadText());
     SetField(result.answer->message, kClockField, OwnClockText());
+    if (!result.crash_reports.empty()) {
+      SetField(result.answer->message, kCrashesField, result.crash_reports);
+    }
     const bool is_written = co_await WriteAnswer(client_, *result.answer);
     if (!is_written) {
       ++state_.counters.late_answers_dropped;
+    } else if (result.answer->suspect) {
+      state_.quarantine.RecordAnswer(*result.answer->suspect);
     }
     co_return is_written&& is_kept_alive;
   }
@@ -156,6 +163,7 @@
     refusal.is_head = is_head_;
     refusal.has_reached_backend_server = ended.has_reached_backend_server;
     refusal.is_backend_leaving = ended.is_backend_leaving;
+    refusal.crash_reports = ended.crash_reports;
     const std::string load = OwnLoadText();
     refusal.load = load;
     const std::string clock = OwnClockText();
--- a/Libraries/LibTraffic/http_message.h
+++ b/Libraries/LibTraffic/http_message.h
@@ -2,9 +2,11 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
+#include "LibLoad/request_fingerprint.h"
 #include "LibTraffic/backend_gate.h"
 #include "LibTraffic/http_connection.h"
 
@@ -43,6 +45,9 @@
   std::unique_ptr<http_connection> connection;
   time_point rest_by{};  ///< When no more of the rest is waited for.
   backend_slot slot;     ///< Held until the rest has been streamed.
+  /// Of a request that may crash backend servers; once the rest has been
+  /// streamed, the answer speaks for it.
+  std::optional<request_fingerprint> suspect;
 };
 
 /// Reads a header section of at most `maximum_bytes`. The timeout must be set
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -4,8 +4,8 @@
 
 #include "LibLoad/retry.h"
 #include "LibLoad/start_check.h"
-#include "LibTraffic/backend_crash.h"
 #include "LibTraffic/header_fields.h"
+#include "LibTraffic/quarantine_check.h"
 
 namespace wagtailmount::detail {
 
@@ -36,6 +36,7 @@
   message.erase(ToBoost(kHopField));
   message.erase(ToBoost(kOwnerDeadlineField));
   message.erase(ToBoost(kRateLimitField));
+  message.erase(ToBoost(kCrashesField));
   SetField(message, deadline_field, MillisecondsLeft(deadline, now));
 }
 
@@ -173,8 +174,14 @@
                                         owner_request incoming) {
   traffic_state& state = worker.state;
   ApplyKnownRateLimit(state, incoming);
-  slot_result acquired = co_await state.gate.AcquireSlot(
-      {incoming.deadline, incoming.priority, incoming.objective});
+  quarantine_check quarantine{worker, incoming};
+  slot_result acquired;
+  if (quarantine.IsRefused()) {
+    acquired.refused = refusal_cause::kQuarantined;
+  } else {
+    acquired = co_await state.gate.AcquireSlot(
+        {incoming.deadline, incoming.priority, incoming.objective});
+  }
   std::unique_ptr<http_connection> connection;
   if (acquired.refused == refusal_cause::kNone) {
     connection = co_await ConnectionToBackendServer(worker, incoming);
@@ -187,6 +194,9 @@
     // Opening the connection takes time, and this process may have been
     // suspended since it read the request.
     acquired.refused = CauseNotToStartNow(state, incoming);
+    if (acquired.refused == refusal_cause::kNone) {
+      acquired.refused = quarantine.CauseNotToStart();
+    }
   }
   if (acquired.refused != refusal_cause::kNone) {
     acquired.slot.SetUse(slot_use::kNotSent);
@@ -200,6 +210,7 @@
         state.statements.LeavingSince(FieldOf(
             incoming.request.message,
             state.settings.fields.expected_backend_server)) != time_point{};
+    refused.crash_reports = quarantine.ReportsText();
     co_return refused;
   }
   const time_point now = state.clock.Now();
@@ -220,18 +231,13 @@
   if (connection != nullptr) {
     worker.KeepBackendConnection(std::move(connection));
   }
-  if (IsLostInExchange(result.outcome) &&
-      !incoming.watch.HasClientDisconnected()) {
-    const bool has_crashed = co_await HasBackendServerCrashed(worker);
-    if (has_crashed) {
-      LogCrash(state, incoming);
-    }
-  }
   const bool has_reached_backend_server =
       result.outcome != attempt_outcome::kClosedBeforeFirstByte;
   ConvertRefusal(result, fields.not_run);
   CheckProofOfOrigin(result, fields.proof_of_origin);
   result.has_reached_backend_server = has_reached_backend_server;
+  co_await quarantine.RecordEnd(result);
+  result.crash_reports = quarantine.ReportsText();
   if (!result.answer || IsServerError(result.answer->message)) {
     acquired.slot.SetUse(slot_use::kNotRun);
   }
--- a/Libraries/LibTraffic/owner_call.cc
+++ b/Libraries/LibTraffic/owner_call.cc
@@ -7,6 +7,7 @@
 #include "LibLoad/load_text.h"
 #include "LibTraffic/header_fields.h"
 #include "LibTraffic/hop_text.h"
+#include "LibTraffic/quarantine_check.h"
 
 namespace wagtailmount::detail {
 
@@ -61,6 +62,15 @@
   }
 }
 
+void SetKnownCrashes(outgoing_request& request, const traffic_state& state) {
+  const std::string known = CrashReportsText(state, request);
+  if (known.empty()) {
+    request.message.erase(ToBoost(kCrashesField));
+  } else {
+    SetField(request.message, kCrashesField, known);
+  }
+}
+
 // Extracts the owner's verdict and reported load from its answer.
 void ExtractVerdictAndLoad(attempt_result& result) {
   if (!result.answer) {
@@ -129,6 +139,7 @@
   PrepareForOwner(incoming.request.message, owner, incoming, attempt, begin,
                   connection->clock);
   SetKnownRateLimit(incoming.request.message, worker.state, owner);
+  SetKnownCrashes(incoming.request, worker.state);
   result = co_await Exchange(connection, incoming.request, incoming.deadline,
                              clock, {.id = request_id_rule::kRequired}, watch);
   if (connection != nullptr) {
@@ -137,6 +148,10 @@
   } else if (IsUnanswered(result.outcome)) {
     worker.pool.CloseIdleSince(owner.hop, begin);
   }
+  if (result.answer) {
+    MergeCrashReports(worker.state, incoming.request,
+                      FieldOf(result.answer->message, kCrashesField));
+  }
   ExtractVerdictAndLoad(result);
   co_return result;
 }
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -152,6 +152,8 @@
 
   bool IsIdle() const override { return state_.counters.in_flight == 0; }
 
+  crash_report_store& CrashReports() override { return state_.quarantine; }
+
   traffic_counters Counters() const override { return state_.counters.Read(); }
 
   std::vector<service_counts> ServiceCounts() const override {
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -11,6 +11,7 @@
 #include "LibBase/endpoint.h"
 #include "LibBase/error.h"
 #include "LibLoad/attempt_outcome.h"
+#include "LibLoad/crash_report.h"
 #include "LibLoad/retry_budget.h"
 #include "LibLog/structured_log.h"
 #include "LibRouting/routing_snapshot.h"
@@ -52,6 +53,10 @@
   std::uint64_t owner_admitted_limited = 0;
   std::uint64_t owner_refused = 0;  ///< Refused: draining, full or too late.
   std::uint64_t late_answers_dropped = 0;
+  /// Requests that ran at this VM's backend server when it crashed.
+  std::uint64_t backend_crashes = 0;
+  /// Refused to callers because they crash the backend servers that run them.
+  std::uint64_t refused_quarantined = 0;
   /// Kept connections of callers ended early, to save descriptors.
   std::uint64_t closed_crowded = 0;
   std::uint64_t caller_connections = 0;  ///< Current number, not a total.
@@ -138,6 +143,9 @@
   /// then, the process may end.
   virtual bool HasClosedIdleConnections() const = 0;
 
+  /// The crashes that this node knows, with the requests that ran.
+  virtual crash_report_store& CrashReports() = 0;
+
   /// True when no request is in flight.
   virtual bool IsIdle() const = 0;
 
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -18,6 +18,8 @@
   counts.owner_admitted_limited = owner_admitted_limited;
   counts.owner_refused = owner_refused;
   counts.late_answers_dropped = late_answers_dropped;
+  counts.backend_crashes = backend_crashes;
+  counts.refused_quarantined = refused_quarantined;
   counts.closed_crowded = closed_crowded;
   counts.caller_connections = caller_connections;
   counts.in_flight = in_flight;
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -15,6 +15,7 @@
 #include "LibTraffic/backend_statements.h"
 #include "LibTraffic/connection_pool.h"
 #include "LibTraffic/decision_log.h"
+#include "LibTraffic/request_quarantine.h"
 #include "LibTraffic/service_statistics.h"
 #include "LibTraffic/traffic_server.h"
 
@@ -34,6 +35,8 @@
   std::atomic<std::uint64_t> owner_admitted_limited{0};
   std::atomic<std::uint64_t> owner_refused{0};
   std::atomic<std::uint64_t> late_answers_dropped{0};
+  std::atomic<std::uint64_t> backend_crashes{0};
+  std::atomic<std::uint64_t> refused_quarantined{0};
   std::atomic<std::uint64_t> closed_crowded{0};
   std::atomic<std::uint64_t> caller_connections{0};
   std::atomic<std::uint64_t> in_flight{0};
@@ -63,7 +66,9 @@
         clock(server_clock),
         log(server_log),
         gate(server_clock),
-        statements(server_clock, server_log) {}
+        statements(server_clock, server_log),
+        quarantine(server_clock, server_log, server_settings.vm,
+                   server_settings.fields.caller_service) {}
 
   const traffic_settings settings;
   const runtime_clock& clock;
@@ -100,6 +105,7 @@
   decision_log decisions;
   backend_gate gate;
   backend_statements statements;
+  request_quarantine quarantine;
 };
 
 /// One traffic thread's state for one service.
--- a/Tests/LibLink/test_message_codec.cc
+++ b/Tests/LibLink/test_message_codec.cc
@@ -64,6 +64,11 @@
             {"a/2", 42, 8, true, nullptr, 0}},
            3},
           std::chrono::milliseconds{5}},
+      crash_reports_message{{{{11, DigestOf("request")},
+                              ~std::uint64_t{0},
+                              2,
+                              true,
+                              std::chrono::milliseconds{70}}}},
   };
 }
 
@@ -95,7 +100,7 @@
       {"a map", FrameOf(json::object({{"kind", 1}})), "holds a map"},
       {"a bare number", FrameOf(5), "message is not an array"},
       {"no fields", FrameOf({1}), "message has 1 items instead of 2"},
-      {"unknown kind", FrameOf({13, json::array()}), "kind is over 12"},
+      {"unknown kind", FrameOf({14, json::array()}), "kind is over 13"},
       {"negative kind", FrameOf({-1, json::array()}),
        "kind is not an unsigned number"},
       {"fields of another kind", FrameOf({1, {version, 0}}),
--- a/Tests/LibTraffic/fake_backend_server.cc
+++ b/Tests/LibTraffic/fake_backend_server.cc
@@ -268,6 +268,20 @@
   }
 }
 
+// The listener first, so that whoever finds a connection closed is refused the
+// next one.
+void fake_backend_server::Crash() {
+  is_stopping_ = true;
+  has_crashed_ = true;
+  ::shutdown(listener_, SHUT_RDWR);
+  const std::lock_guard lock{mutex_};
+  is_released_ = true;
+  released_.notify_all();
+  for (const int socket : sockets_) {
+    ::shutdown(socket, SHUT_RDWR);
+  }
+}
+
 void fake_backend_server::SendUntilClosed(int socket,
                                           const endless_answer& answer) {
   ++endless_answers_;
@@ -299,6 +313,10 @@
   if (behaviour == "hang") {
     return false;
   }
+  if (behaviour == "crash") {
+    Crash();
+    return false;
+  }
   if (const auto endless = FindEndlessAnswer(behaviour)) {
     SendUntilClosed(socket, *endless);
     return false;
--- a/Tests/LibTraffic/fake_backend_server.h
+++ b/Tests/LibTraffic/fake_backend_server.h
@@ -40,6 +40,8 @@
 ///   close-after       answers completely, then closes the connection without
 ///                     having announced it
 ///   early-answer      sends a 103 response before the final one
+///   crash             runs the request, then refuses connections and closes
+///                     all that are open, as when its process ends
 ///   endless-...       sends bytes until the node closes the connection, in
 ///                     the part of the answer that the name says
 ///   own-fields        sets Wagtailmount-Verdict and Wagtailmount-Reason itself
@@ -62,6 +64,7 @@
   /// The request line and header of the last request, as received.
   std::string LastRequestHead() const;
   void ReleaseWaitingRequests();
+  bool HasCrashed() const { return has_crashed_; }
   /// How many endless answers are being sent.
   int EndlessAnswers() const { return endless_answers_; }
   /// Adds header fields, each a line that ends with CRLF, to the answers with a
@@ -79,6 +82,7 @@
                          std::string& owed_copy);
   /// Spends the time that a behaviour takes before its answer.
   void Run(int socket, const std::string& behaviour);
+  void Crash();
   void SendUntilClosed(int socket, const endless_answer& answer);
   bool SendAnswer(int socket, const std::string& behaviour,
                   const std::string& id, const std::string& method,
@@ -87,6 +91,7 @@
   endpoint address_;
   int listener_ = -1;
   std::atomic<bool> is_stopping_{false};
+  std::atomic<bool> has_crashed_{false};
   std::atomic<int> runs_{0};
   std::atomic<int> connections_{0};
   std::atomic<int> peak_connections_{0};
--- a/Tests/LibTraffic/traffic_fixture.cc
+++ b/Tests/LibTraffic/traffic_fixture.cc
@@ -82,6 +82,11 @@
   StartNode(owner, "ledger");
 }
 
+void traffic_fixture::RestartEntry() {
+  Entry().server.reset();
+  StartNode(Entry(), "other");
+}
+
 std::shared_ptr<const configuration> traffic_fixture::MakeConfiguration()
     const {
   auto ledger = std::make_shared<service>();
--- a/Tests/LibTraffic/traffic_fixture.h
+++ b/Tests/LibTraffic/traffic_fixture.h
@@ -59,6 +59,9 @@
   /// knows nothing until the next Publish().
   void RestartOwner(int number);
 
+  /// The same for VM 0.
+  void RestartEntry();
+
   /// Publishes a new snapshot on all nodes. `edit_upstream` may alter each
   /// upstream; `own` describes the backend server beside every node.
   void Publish(const std::function<void(upstream&)>& edit_upstream = {},
