LibTraffic: Pass no temporary with strings to an awaited coroutine

Callers would have seen a node end with the first hop request that it refuses so early.

Ruled out: the other awaited calls with temporaries; theirs hold only references and numbers.

Change: a named object.

--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -148,7 +148,10 @@
   }
 
   task<bool> Refuse(verdict proved, refusal_cause cause) {
-    co_return co_await Refuse(proved, cause, attempt_result{});
+    // NOTE: g++ 12 copies a temporary argument of an awaited coroutine byte by
+    // byte, which breaks its strings.
+    const attempt_result not_attempted;
+    co_return co_await Refuse(proved, cause, not_attempted);
   }
 
   task<bool> Refuse(verdict proved, refusal_cause cause,
