Tests/Soak: Pick the last choice for a draw of one

Cause: draws are rounded to three digits, so one in two thousand is 1.0, and picked past the end.

Change: the draw picks the last choice.

--- a/Tests/Soak/soak_schedule.py
+++ b/Tests/Soak/soak_schedule.py
@@ -59,7 +59,7 @@
 
     @staticmethod
     def pick(choices, draw):
-        return choices[int(draw * len(choices))]
+        return choices[min(int(draw * len(choices)), len(choices) - 1)]
 
 
 class Operator:
--- a/Tests/Soak/test_soak_judge.py
+++ b/Tests/Soak/test_soak_judge.py
@@ -189,6 +189,9 @@
             self.serve(f"failed-{number}", sent=END + 1, node=1, status=503, is_own=False, stamp="")
         self.check("RECOVER")
 
+    def test_each_draw_picks_something(self):
+        self.assertEqual([Schedule.pick("abc", draw) for draw in (0.0, 0.34, 0.999, 1.0)], ["a", "b", "c", "c"])
+
     def test_a_seed_draws_the_same_schedule(self):
         self.assertEqual(Schedule(5, 6, 60).lines(), Schedule(5, 6, 60).lines())
         self.assertNotEqual(Schedule(5, 6, 60).lines(), Schedule(6, 6, 60).lines())
