LibTraffic: Bind a start of a backend server by its own rate limit alone

Callers saw refusals for seconds after a backend server that had named a low limit was replaced: its successor at the same VM was bound by it until its own first answer, which at a limit of zero comes 4 s late.

Cause: the owner's gate held the limit of whoever had answered last, by VM, not by the start that named it.

Measured: both new cases of TestLibTrafficRateLimit failed before (503 for 200 at all four callers), pass now, three runs of three with all others.

--- a/Libraries/LibTraffic/backend_statements.cc
+++ b/Libraries/LibTraffic/backend_statements.cc
@@ -55,6 +55,16 @@
   return true;
 }
 
+void backend_statements::SetCurrent(std::string_view id) {
+  const std::lock_guard lock{mutex_};
+  current_ = id;
+}
+
+bool backend_statements::IsCurrent(std::string_view id) const {
+  const std::lock_guard lock{mutex_};
+  return current_.empty() || current_ == id;
+}
+
 void backend_statements::LogStarts(std::string_view id, std::uint64_t total) {
   constexpr std::chrono::seconds kInterval{1};
   const auto limit = RateLimitOf(id);
--- a/Libraries/LibTraffic/backend_statements.h
+++ b/Libraries/LibTraffic/backend_statements.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <mutex>
 #include <optional>
+#include <string>
 #include <string_view>
 
 #include "LibLoad/statement_memory.h"
@@ -38,6 +39,14 @@
   /// States that this process has read an answer of its VM's backend server.
   void SetAnswered() { has_answered_ = true; }
 
+  /// States which start of this VM's backend server is in use now, by its id;
+  /// empty if that is not known.
+  void SetCurrent(std::string_view id);
+
+  /// Whether `id` is the start that is in use now, as far as that is known.
+  /// Only its rate limit binds this VM's backend server.
+  bool IsCurrent(std::string_view id) const;
+
   /// Logs what a statement changed.
   void Log(std::string_view id, const backend_statement& statement,
            statement_memory::change changed) const;
@@ -59,6 +68,7 @@
   structured_log* const log_;
   mutable std::mutex mutex_;
   statement_memory memory_;
+  std::string current_;
   std::uint64_t total_at_last_log_ = 0;
   time_point last_log_{};
   std::atomic<bool> has_answered_{false};
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -129,7 +129,10 @@
   state.statements.Log(id, *statement,
                        state.statements.Record(asked_at, id, *statement));
   state.statements.LogStarts(id, state.counters.owner_admitted);
-  state.gate.SetRateLimit(state.statements.RateLimitOf(id));
+  // An answer of an earlier start may come late.
+  if (state.statements.IsCurrent(id)) {
+    state.gate.SetRateLimit(state.statements.RateLimitOf(id));
+  }
 }
 
 // Until the backend server's first answer, this process knows its rate limit
@@ -137,7 +140,7 @@
 void ApplyKnownRateLimit(traffic_state& state, const owner_request& incoming) {
   const std::string_view id = FieldOf(
       incoming.request.message, state.settings.fields.expected_backend_server);
-  if (incoming.known_rate_limit &&
+  if (incoming.known_rate_limit && state.statements.IsCurrent(id) &&
       state.statements.RecordFromPeer(id, *incoming.known_rate_limit)) {
     state.gate.SetRateLimit(incoming.known_rate_limit);
   }
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -112,6 +112,11 @@
                    state_.settings.service)) {
       state_.gate.SetLimits(declared->limits);
     }
+    const std::string_view current = CurrentBackendServer(*snapshot);
+    if (!current.empty() && !state_.statements.IsCurrent(current)) {
+      state_.gate.SetRateLimit(state_.statements.RateLimitOf(current));
+    }
+    state_.statements.SetCurrent(current);
     const auto idle = snapshot->Configuration().Limits().idle_timeout;
     state_.idle_timeout =
         has_snapshot_ ? std::max(state_.idle_timeout.load(), idle) : idle;
@@ -165,6 +170,18 @@
   }
 
  private:
+  // The id of this VM's backend server; empty if it has none or is not known.
+  std::string_view CurrentBackendServer(
+      const routing_snapshot& snapshot) const {
+    for (const upstream& each : snapshot.UpstreamsOf(
+             traffic_state::OwnService(state_.settings, snapshot))) {
+      if (each.vm == state_.settings.vm && !each.is_leaving) {
+        return each.backend_server_id;
+      }
+    }
+    return {};
+  }
+
   detail::task<void> Accept(tcp::acceptor& acceptor, session_function serve) {
     while (acceptor.is_open()) {
       traffic_worker& worker = NextWorker();
--- a/Tests/LibTraffic/test_rate_limit.cc
+++ b/Tests/LibTraffic/test_rate_limit.cc
@@ -14,6 +14,7 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 using wagtailmount::endpoint;
+using wagtailmount::upstream;
 
 namespace {
 
@@ -92,6 +93,13 @@
   }
 };
 
+// The next start of the backend server has another id and incarnation.
+void NextStart(upstream& each) {
+  each.is_leaving = each.vm != "vm-1";
+  each.backend_server_id += "-second";
+  ++each.incarnation;
+}
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(rate_limit_suite, rate_limit_fixture)
@@ -203,6 +211,35 @@
              MaximumWithinWindow(kLimit));
 }
 
+BOOST_AUTO_TEST_CASE(ANewStartIsNotBoundByTheRateLimitOfTheOneBefore) {
+  PublishOnlyTheFirst();
+  auto& limited = *Owner(1).backend_server;
+  limited.SetAnswerFields("X-Backend-Rate-Limit: 0\r\n");
+  BOOST_REQUIRE(Call(Entry().caller_address, "GET", "/").status == 200);
+  limited.SetAnswerFields({});
+  Publish(NextStart);
+  for (const endpoint& address : CallerAddresses()) {
+    BOOST_TEST(Call(address, "GET", "/").status == 200);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ALateAnswerOfAnEarlierStartBindsNoOther) {
+  PublishOnlyTheFirst();
+  auto& limited = *Owner(1).backend_server;
+  std::thread late(
+      [this] { Call(Entry().caller_address, "GET", "/", "X-Fake: wait\r\n"); });
+  BOOST_REQUIRE(Eventually([&] { return limited.TotalRuns() == 1; }));
+  Publish(NextStart);
+  BOOST_TEST(Call(Entry().caller_address, "GET", "/").status == 200);
+  limited.SetAnswerFields("X-Backend-Rate-Limit: 0\r\n");
+  limited.ReleaseWaitingRequests();
+  late.join();
+  limited.SetAnswerFields({});
+  for (const endpoint& address : CallerAddresses()) {
+    BOOST_TEST(Call(address, "GET", "/").status == 200);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(rate_limit_without_ids_suite)
