LibLoad: Parse lists of numbers in one place

Cause: the text of crash reports brought a second copy of how the reported load reads its numbers.

Ruled out: a change of what is accepted; both keep their bounds, and their tables of malformed texts are as they were.

Change: ParseNumberList, used by both.

--- a/Libraries/LibLoad/crash_report_text.cc
+++ b/Libraries/LibLoad/crash_report_text.cc
@@ -1,10 +1,10 @@
 #include "LibLoad/crash_report_text.h"
 
 #include <array>
-#include <charconv>
 #include <limits>
 
 #include "LibLoad/crash_ledger.h"
+#include "LibLoad/number_list.h"
 
 namespace wagtailmount {
 
@@ -16,20 +16,9 @@
 std::optional<crash_report> ParseOne(std::string_view text,
                                      const request_fingerprint& request) {
   std::array<std::uint64_t, 4> numbers{};
-  const char* at = text.data();
-  const char* const end = text.data() + text.size();
-  for (std::size_t index = 0; index < numbers.size(); ++index) {
-    if (index > 0 && (at == end || *at++ != ' ')) {
-      return std::nullopt;
-    }
-    const auto [after, status] = std::from_chars(at, end, numbers[index]);
-    if (status != std::errc{}) {
-      return std::nullopt;
-    }
-    at = after;
-  }
+  const bool is_readable = ParseNumberList(text, numbers);
   const auto [crash, depth, refuted, age_ms] = numbers;
-  if (at != end || depth > kMaximumNumber || refuted > 1 ||
+  if (!is_readable || depth > kMaximumNumber || refuted > 1 ||
       age_ms > kMaximumNumber) {
     return std::nullopt;
   }
--- a/Libraries/LibLoad/load_text.cc
+++ b/Libraries/LibLoad/load_text.cc
@@ -1,9 +1,11 @@
 #include "LibLoad/load_text.h"
 
+#include <algorithm>
 #include <array>
-#include <charconv>
 #include <limits>
 
+#include "LibLoad/number_list.h"
+
 namespace wagtailmount {
 
 namespace {
@@ -30,19 +32,10 @@
 
 std::optional<owner_load> ParseLoad(std::string_view text) {
   std::array<std::uint64_t, 4> numbers{};
-  const char* at = text.data();
-  const char* const end = text.data() + text.size();
-  for (std::size_t index = 0; index < numbers.size(); ++index) {
-    if (index > 0 && (at == end || *at++ != ' ')) {
-      return std::nullopt;
-    }
-    const auto [after, status] = std::from_chars(at, end, numbers[index]);
-    if (status != std::errc{} || numbers[index] > kMaxNumber) {
-      return std::nullopt;
-    }
-    at = after;
-  }
-  if (at != end) {
+  const bool is_readable = ParseNumberList(text, numbers);
+  const bool is_in_range =
+      *std::max_element(numbers.begin(), numbers.end()) <= kMaxNumber;
+  if (!is_readable || !is_in_range) {
     return std::nullopt;
   }
   return owner_load{microseconds{numbers[0]}, microseconds{numbers[1]},
