--- a/Tests/LibTraffic/fake_backend_server.cc
+++ b/Tests/LibTraffic/fake_backend_server.cc
@@ -1,6 +1,5 @@
 #include "Tests/LibTraffic/fake_backend_server.h"
 
-#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -9,10 +8,10 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstring>
-#include <optional>
 #include <utility>
 
+#include "Tests/LibTraffic/raw_http.h"
+
 namespace wagtailmount::testing {
 
 namespace {
@@ -21,88 +20,6 @@
 
 constexpr std::size_t kLongBodyBytes = std::size_t{1024} * 1024;
 
-sockaddr_in AddressOf(const endpoint& target) {
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_port = htons(target.port);
-  inet_pton(AF_INET, target.address.c_str(), &address.sin_addr);
-  return address;
-}
-
-bool SendAll(int socket, std::string_view text) {
-  while (!text.empty()) {
-    const auto sent = ::send(socket, text.data(), text.size(), MSG_NOSIGNAL);
-    if (sent <= 0) {
-      return false;
-    }
-    text.remove_prefix(static_cast<std::size_t>(sent));
-  }
-  return true;
-}
-
-bool ReceiveSome(int socket, std::string& into) {
-  char buffer[16384];
-  const auto count = ::recv(socket, buffer, sizeof(buffer), 0);
-  if (count <= 0) {
-    return false;
-  }
-  into.append(buffer, static_cast<std::size_t>(count));
-  return true;
-}
-
-std::string HeaderValue(const std::string& head, const std::string& name) {
-  const auto at = head.find("\r\n" + name + ": ");
-  if (at == std::string::npos) {
-    return {};
-  }
-  const auto begin = at + name.size() + 4;
-  return head.substr(begin, head.find("\r\n", begin) - begin);
-}
-
-// Reads a body with a Content-Length or in chunks; nullopt if the connection
-// closes before its end.
-std::optional<std::string> ReadBody(int socket, const std::string& head,
-                                    std::string& unread) {
-  std::string body;
-  if (HeaderValue(head, "Transfer-Encoding") == "chunked") {
-    while (true) {
-      while (unread.find("\r\n") == std::string::npos) {
-        if (!ReceiveSome(socket, unread)) {
-          return std::nullopt;
-        }
-      }
-      const std::size_t size = std::stoul(unread, nullptr, 16);
-      unread.erase(0, unread.find("\r\n") + 2);
-      while (unread.size() < size + 2) {
-        if (!ReceiveSome(socket, unread)) {
-          return std::nullopt;
-        }
-      }
-      body += unread.substr(0, size);
-      unread.erase(0, size + 2);
-      if (size == 0) {
-        return body;
-      }
-    }
-  }
-  const std::string length_text = HeaderValue(head, "Content-Length");
-  const std::size_t length = length_text.empty() ? 0 : std::stoul(length_text);
-  while (unread.size() < length) {
-    if (!ReceiveSome(socket, unread)) {
-      return std::nullopt;
-    }
-  }
-  body = unread.substr(0, length);
-  unread.erase(0, length);
-  return body;
-}
-
-void ResetOnClose(int socket) {
-  const linger zero_timeout{1, 0};
-  ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &zero_timeout,
-               sizeof(zero_timeout));
-}
-
 void RaiseTo(std::atomic<int>& peak, int value) {
   int seen = peak;
   while (seen < value && !peak.compare_exchange_weak(seen, value)) {
