LibLoad: Let no crash reports circulate that nodes can't keep

Callers would have seen nodes spend their links and processors on messages that never end, after a crash of many backend servers at once.

Cause: a node passes on what is news to it. A ledger that was full gave up an old report for any new one, so the old one was news again when another node sent it, and both went round without end: more than ten crashes under one popular request are enough, as when a tenth of a large service crashes together.

Ruled out: a limit on how often a report is passed on; it would delay an end that the ledger can reach by itself.

Change: a report replaces only one of less weight (refuted ones have none, others their depth), and what finds no room is no news. Each replacement raises the weight that is held, so the exchange ends. Requests that are not quarantined are forgotten after 10 min, which keeps room for new ones.

--- a/Libraries/LibLoad/crash_ledger.cc
+++ b/Libraries/LibLoad/crash_ledger.cc
@@ -20,8 +20,11 @@
 /// crash.
 constexpr std::chrono::seconds kFirstTrialDelay{30};
 constexpr std::chrono::hours kLongestTrialDelay{1};
-/// Longer than the longest delay between trials.
+/// How long a request that is quarantined is remembered; longer than the
+/// longest delay between trials.
 constexpr std::chrono::hours kLifetime{2};
+/// How long any other is. Callers repeat a request within minutes.
+constexpr std::chrono::minutes kSuspectLifetime{10};
 constexpr std::chrono::seconds kCleanupInterval{10};
 
 std::chrono::seconds TrialDelay(std::uint32_t crashes) {
@@ -44,7 +47,7 @@
 std::uint32_t crash_ledger::suspect::Depth() const {
   std::uint32_t depth = 0;
   for (const auto& [id, each] : crashes) {
-    depth = std::max(depth, each.is_refuted ? 0 : each.depth);
+    depth = std::max(depth, each.Weight());
   }
   return depth;
 }
@@ -74,23 +77,29 @@
   return news;
 }
 
+// Reports that find no room are no news, and what is given up for others is of
+// less weight than they are, so that nodes which can't keep all do not go on
+// sending each other the rest.
 bool crash_ledger::MergeOne(time_point now, const crash_report& report) {
-  if (!suspects_.contains(report.request)) {
-    MakeRoom();
-  }
-  suspect& known = suspects_[report.request];
-  const auto found = known.crashes.find(report.crash);
-  if (found == known.crashes.end()) {
-    if (known.crashes.size() >= kMaximumCrashesOfRequest) {
-      known.crashes.erase(std::min_element(
-          known.crashes.begin(), known.crashes.end(),
+  if (!suspects_.contains(report.request) && !MakeRoomFor(report)) {
+    return false;
+  }
+  auto& crashes = suspects_[report.request].crashes;
+  const crash added{report.depth, report.is_refuted, now - report.age};
+  const auto found = crashes.find(report.crash);
+  if (found == crashes.end()) {
+    if (crashes.size() >= kMaximumCrashesOfRequest) {
+      const auto least = std::min_element(
+          crashes.begin(), crashes.end(),
           [](const auto& left, const auto& right) {
-            return std::tuple(!left.second.is_refuted, left.second.at) <
-                   std::tuple(!right.second.is_refuted, right.second.at);
-          }));
+            return left.second.Weight() < right.second.Weight();
+          });
+      if (least->second.Weight() >= added.Weight()) {
+        return false;
+      }
+      crashes.erase(least);
     }
-    known.crashes[report.crash] = {report.depth, report.is_refuted,
-                                   now - report.age};
+    crashes[report.crash] = added;
     return true;
   }
   crash& held = found->second;
@@ -217,19 +226,28 @@
   }
   next_cleanup_ = now + kCleanupInterval;
   std::erase_if(suspects_, [now](const auto& each) {
-    return now - each.second.LastEvent() > kLifetime;
+    const duration age = now - each.second.LastEvent();
+    return each.second.Depth() >= kDepthToQuarantine ? age > kLifetime
+                                                     : age > kSuspectLifetime;
   });
 }
 
-// Gives up the least suspect request, and of several the oldest.
-void crash_ledger::MakeRoom() {
-  if (suspects_.size() >= kMaximumRequests) {
-    suspects_.erase(std::min_element(suspects_.begin(), suspects_.end(),
-                                     [](const auto& left, const auto& right) {
-                                       return left.second.Rank() <
-                                              right.second.Rank();
-                                     }));
+// Gives up the least suspect request for a more suspect one; false if there is
+// none.
+bool crash_ledger::MakeRoomFor(const crash_report& report) {
+  if (suspects_.size() < kMaximumRequests) {
+    return true;
+  }
+  const auto least =
+      std::min_element(suspects_.begin(), suspects_.end(),
+                       [](const auto& left, const auto& right) {
+                         return left.second.Rank() < right.second.Rank();
+                       });
+  if (report.is_refuted || least->second.Depth() >= report.depth) {
+    return false;
   }
+  suspects_.erase(least);
+  return true;
 }
 
 }  // namespace wagtailmount
--- a/Libraries/LibLoad/crash_ledger.h
+++ b/Libraries/LibLoad/crash_ledger.h
@@ -69,6 +69,8 @@
     std::uint32_t depth = 1;
     bool is_refuted = false;
     time_point at;
+
+    std::uint32_t Weight() const { return is_refuted ? 0 : depth; }
   };
 
   struct suspect {
@@ -86,7 +88,7 @@
 
   bool MergeOne(time_point now, const crash_report& report);
   void Forget(time_point now);
-  void MakeRoom();
+  bool MakeRoomFor(const crash_report& report);
   static request_standing StandingOf(time_point now, const suspect& known);
   static void AddReports(time_point now, const request_fingerprint& request,
                          const suspect& known,
--- a/Tests/LibLoad/test_crash_ledger.cc
+++ b/Tests/LibLoad/test_crash_ledger.cc
@@ -3,7 +3,9 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <deque>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "LibLoad/crash_ledger.h"
@@ -141,10 +143,47 @@
              Request("lethal").head);
 }
 
+// Each node passes on what is news to it. Nodes that can't keep all reports
+// must not go on sending each other what they gave up.
+BOOST_AUTO_TEST_CASE(MoreReportsThanAreKeptDoNotCirculate) {
+  constexpr std::size_t kNodes = 3;
+  constexpr std::uint64_t kRequests = 2 * crash_ledger::kMaximumRequests;
+  std::vector<crash_ledger> nodes(kNodes);
+  std::deque<std::pair<std::size_t, crash_report>> sent;  // To whom, and what.
+  for (std::uint64_t each = 0; each < kRequests; ++each) {
+    for (std::size_t node = 0; node < kNodes; ++node) {
+      sent.push_back({node, {Request("popular"), each, 1, false, 0ms}});
+      sent.push_back(
+          {node,
+           {Request("request " + std::to_string(each)), 1, 1, false, 0ms}});
+    }
+  }
+  std::size_t count = 0;
+  for (; !sent.empty() && count < 100 * kRequests; ++count) {
+    clock.Advance(1ms);
+    const auto [node, report] = sent.front();
+    sent.pop_front();
+    for (const auto& news : nodes[node].Merge(clock.Now(), {&report, 1})) {
+      for (std::size_t other = 0; other < kNodes; ++other) {
+        if (other != node) {
+          sent.emplace_back(other, news);
+        }
+      }
+    }
+  }
+  BOOST_TEST(sent.empty());
+}
+
 BOOST_AUTO_TEST_CASE(ReportsAge) {
   CrashOnceMore("lethal", 1);
-  clock.Advance(2h + 1min);
-  CrashOnceMore("other", 2);
+  CrashOnceMore("lethal", 2);
+  CrashOnceMore("suspect", 3);
+  clock.Advance(11min);
+  CrashOnceMore("other", 4);
+  BOOST_TEST(ledger.CrashesOf(Request("suspect")) == 0U);
+  BOOST_TEST(ledger.CrashesOf(Request("lethal")) == 2U);
+  clock.Advance(2h);
+  CrashOnceMore("other", 5);
   BOOST_TEST(ledger.CrashesOf(Request("lethal")) == 0U);
   const crash_report old{Request("old"), 3, 1, false, 3h};
   BOOST_TEST(ledger.Merge(clock.Now(), {&old, 1}).empty());
