Tests/LibTraffic: Share the sockets of the raw callers and the many callers

Cause: traffic_fixture had a second copy of how raw_http addresses and sends, and two rate-limit cases the same list of callers.

Ruled out: other pairs of the last look: two readers of messages and the kill and freeze of the soak are alike by shape only; the benchmark keeps its AddressOf, for it links nothing of the tests.

Change: both use raw_http; ManyAtTheEntry().

Measured: TestLibTrafficPath, Quarantine, RateLimit and Verdicts pass.

--- a/Tests/LibTraffic/test_rate_limit.cc
+++ b/Tests/LibTraffic/test_rate_limit.cc
@@ -86,6 +86,11 @@
     });
   }
 
+  // Callers that send many requests before the first answer comes.
+  std::vector<endpoint> ManyAtTheEntry() {
+    return std::vector<endpoint>(24, Entry().caller_address);
+  }
+
   // Callers at the entry and at the owner itself.
   std::vector<endpoint> CallerAddresses() {
     return {Entry().caller_address, Entry().caller_address,
@@ -175,8 +180,7 @@
   PublishOnlyTheFirst();
   auto& limited = *Owner(1).backend_server;
   limited.SetAnswerFields("X-Backend-Rate-Limit: 2\r\n");
-  const std::vector<endpoint> addresses(24, Entry().caller_address);
-  steady_callers callers{addresses, "X-Fake: slow\r\n"};
+  steady_callers callers{ManyAtTheEntry(), "X-Fake: slow\r\n"};
   std::this_thread::sleep_for(milliseconds{2'000});
   const auto named = steady_clock::now();
   RestartOwner(1);
@@ -195,8 +199,7 @@
   PublishOnlyTheFirst();
   auto& limited = *Owner(1).backend_server;
   limited.SetAnswerFields("X-Backend-Rate-Limit: 2\r\n");
-  const std::vector<endpoint> addresses(24, Entry().caller_address);
-  steady_callers callers{addresses, "X-Fake: slow\r\n"};
+  steady_callers callers{ManyAtTheEntry(), "X-Fake: slow\r\n"};
   std::this_thread::sleep_for(milliseconds{1'500});
   const auto named = steady_clock::now();
   while (steady_clock::now() < named + kWindow) {
--- a/Tests/LibTraffic/traffic_fixture.cc
+++ b/Tests/LibTraffic/traffic_fixture.cc
@@ -1,7 +1,5 @@
 #include "Tests/LibTraffic/traffic_fixture.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -12,6 +10,8 @@
 #include <stdexcept>
 #include <thread>
 
+#include "Tests/LibTraffic/raw_http.h"
+
 namespace wagtailmount::testing {
 
 namespace {
@@ -145,11 +145,8 @@
 
 test_caller::test_caller(const endpoint& address) {
   socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
-  sockaddr_in socket_address{};
-  socket_address.sin_family = AF_INET;
-  socket_address.sin_port = htons(address.port);
-  inet_pton(AF_INET, address.address.c_str(), &socket_address.sin_addr);
-  if (::connect(socket_, reinterpret_cast<sockaddr*>(&socket_address),
+  const sockaddr_in socket_address = AddressOf(address);
+  if (::connect(socket_, reinterpret_cast<const sockaddr*>(&socket_address),
                 sizeof(socket_address)) != 0) {
     throw std::runtime_error("cannot connect to " + address.ToText());
   }
@@ -164,16 +161,7 @@
   }
 }
 
-bool test_caller::Send(std::string_view text) {
-  while (!text.empty()) {
-    const auto sent = ::send(socket_, text.data(), text.size(), MSG_NOSIGNAL);
-    if (sent <= 0) {
-      return false;
-    }
-    text.remove_prefix(static_cast<std::size_t>(sent));
-  }
-  return true;
-}
+bool test_caller::Send(std::string_view text) { return SendAll(socket_, text); }
 
 received_answer test_caller::Receive(bool has_no_body) {
   namespace http = boost::beast::http;
