LibConfig, platform: Decode cold starts, births and evacuations

This decodes them into the product's own types; nothing decides by them yet.

TestLibConfig, TestLibNode, TestLibCatalog, TestLibLoad and TestPlatform pass.

--- a/Libraries/LibCatalog/catalog_format.h
+++ b/Libraries/LibCatalog/catalog_format.h
@@ -16,6 +16,10 @@
 struct catalog_format {
   std::string_view configuration_key;
   std::string_view upstream_prefix;
+  /// An entry with this prefix, followed by the name of a failure domain, asks
+  /// that no request be sent to the backend servers there while it exists.
+  /// Empty if the platform has no such entries.
+  std::string_view evacuation_prefix;
   /// The version number inside the configuration becomes its revision.
   result<std::shared_ptr<const configuration>> (*read_configuration)(
       const catalog_item& item);
--- a/Libraries/LibCatalog/upstream_record.h
+++ b/Libraries/LibCatalog/upstream_record.h
@@ -10,7 +10,9 @@
 
 /// A backend server's registration with the platform, as it wrote it.
 struct upstream_record {
-  std::string id;  ///< Unique to each start of the backend server.
+  std::string id;  ///< With `born`, unique to each start of the backend server.
+  /// The Unix time of its start in milliseconds; 0 if it does not state it.
+  std::int64_t born = 0;
   std::string service;
   endpoint backend_server;  ///< The VM's address, and the port on the VM.
   std::string failure_domain;
--- a/Libraries/LibConfig/config_limits.h
+++ b/Libraries/LibConfig/config_limits.h
@@ -25,6 +25,7 @@
 inline constexpr std::uint32_t kMostQueued = 100'000;
 inline constexpr std::uint32_t kMostAttempts = 10;
 inline constexpr std::uint32_t kLongestSlowStartMilliseconds = 600'000;
+inline constexpr double kMostColdRequestsASecond = 1e9;
 inline constexpr std::uint32_t kLongestDeadlineMilliseconds = 600'000;
 inline constexpr std::uint32_t kLongestConvergenceMilliseconds = 600'000;
 
--- a/Libraries/LibConfig/configuration.h
+++ b/Libraries/LibConfig/configuration.h
@@ -42,6 +42,18 @@
   auto operator<=>(const manifest_entry&) const = default;
 };
 
+/// How a backend server may be used while it is cold: shortly after its start,
+/// or after it lost what it had cached.
+struct cold_start_policy {
+  /// How long a backend server is cold after its start.
+  std::chrono::milliseconds period{0};
+  /// How many requests it takes in a second while it is cold; 0 if it sets no
+  /// such limit.
+  double requests_a_second = 0.0;
+
+  bool operator==(const cold_start_policy&) const = default;
+};
+
 /// Limits of an upstream, enforced by its owner (the node beside it).
 struct upstream_limits {
   std::uint32_t slots = 20;         ///< Requests processed at one time.
@@ -49,6 +61,7 @@
   std::uint32_t queue = 40;         ///< Requests that may wait for a slot.
   /// How long the load of a new upstream is ramped up.
   std::chrono::milliseconds slow_start{10'000};
+  cold_start_policy cold_start;
 
   bool operator==(const upstream_limits&) const = default;
 };
--- a/Libraries/LibConfig/service_parser.cc
+++ b/Libraries/LibConfig/service_parser.cc
@@ -23,6 +23,23 @@
       key, static_cast<std::uint64_t>(fallback.count()), lowest, highest));
 }
 
+cold_start_policy ParseColdStart(json_object_reader& service) {
+  cold_start_policy policy;
+  const nlohmann::json* object = service.OptionalObject("cold_start");
+  if (object == nullptr) {
+    return policy;
+  }
+  json_object_reader reader(*object, service.PathOf("cold_start"),
+                            service.Faults());
+  policy.period = ReadMilliseconds(reader, "period_ms", policy.period, 0,
+                                   kLongestSlowStartMilliseconds);
+  policy.requests_a_second =
+      reader.OptionalFraction("requests_a_second", policy.requests_a_second,
+                              0.0, kMostColdRequestsASecond);
+  reader.RefuseUnknownMembers();
+  return policy;
+}
+
 upstream_limits ParseLimits(json_object_reader& reader) {
   upstream_limits limits;
   limits.slots = ReadCount(reader, "slots", limits.slots, 1, kMostSlots);
@@ -32,6 +49,7 @@
   limits.slow_start =
       ReadMilliseconds(reader, "slow_start_ms", limits.slow_start, 0,
                        kLongestSlowStartMilliseconds);
+  limits.cold_start = ParseColdStart(reader);
   if (limits.connections < limits.slots) {
     reader.AddFault("connections",
                     "must be at least \"slots\", for each running request "
--- a/Libraries/LibLoad/attempt_outcome.cc
+++ b/Libraries/LibLoad/attempt_outcome.cc
@@ -20,7 +20,7 @@
   bool is_caller_retry_useful;
 };
 
-constexpr std::array<cause_entry, 20> kCauses{{
+constexpr std::array<cause_entry, 23> kCauses{{
     {refusal_cause::kNone, "none", kUnavailable, false},
     {refusal_cause::kNoConfiguration, "no-configuration", kUnavailable, true},
     {refusal_cause::kDraining, "draining", kUnavailable, true},
@@ -40,6 +40,9 @@
     {refusal_cause::kBodyLost, "body-lost", kBadRequest, false},
     {refusal_cause::kOverloaded, "overloaded", kUnavailable, true},
     {refusal_cause::kQuarantined, "quarantined", kBadGateway, false},
+    {refusal_cause::kEvacuated, "evacuated", kUnavailable, true},
+    {refusal_cause::kCold, "cold", kUnavailable, true},
+    {refusal_cause::kCallsShort, "calls-short", kUnavailable, true},
     {refusal_cause::kUnknown, "unknown", kUnavailable, false},
 }};
 
--- a/Libraries/LibLoad/attempt_outcome.h
+++ b/Libraries/LibLoad/attempt_outcome.h
@@ -48,6 +48,9 @@
   kBodyLost,          ///< The request's body was cut off.
   kOverloaded,        ///< The expected wait is longer than allowed.
   kQuarantined,       ///< It crashes the backend servers that run it.
+  kEvacuated,         ///< The owner's failure domain is evacuated.
+  kCold,              ///< The backend server is cold and takes no more yet.
+  kCallsShort,        ///< A service that it calls is short of room.
   kUnknown,           ///< The owner sent a name that is unknown here.
 };
 
--- a/Libraries/LibMembership/membership_upstreams.cc
+++ b/Libraries/LibMembership/membership_upstreams.cc
@@ -58,7 +58,8 @@
                                  record.region, record.hop, record.incarnation,
                                  record.state == vm_state::kLeaving,
                                  IsSuspect(*member),
-                                 /*backend_server_id=*/{}});
+                                 /*backend_server_id=*/{},
+                                 /*is_evacuated=*/false});
   }
   return result;
 }
--- a/Libraries/LibNode/settings.cc
+++ b/Libraries/LibNode/settings.cc
@@ -160,6 +160,22 @@
   retries.RefuseUnknownMembers();
 }
 
+void ReadColdStarts(json_object_reader& root, node_settings& settings,
+                    std::vector<document_fault>& faults) {
+  const json* section = root.OptionalObject("cold_starts");
+  if (section == nullptr) {
+    return;
+  }
+  constexpr double kMaximumColdOverage = 10.0;
+  constexpr std::uint64_t kMaximumColdSlack = 1'000'000;
+  json_object_reader cold(*section, root.PathOf("cold_starts"), faults);
+  settings.cold_overage = cold.OptionalFraction(
+      "overage", settings.cold_overage, 1.0, kMaximumColdOverage);
+  settings.cold_slack = static_cast<std::uint32_t>(
+      cold.OptionalNumber("slack", settings.cold_slack, 0, kMaximumColdSlack));
+  cold.RefuseUnknownMembers();
+}
+
 }  // namespace
 
 tl::expected<node_settings, std::vector<document_fault>> ParseNodeSettings(
@@ -191,6 +207,7 @@
       "drain_grace_ms", kDefaultDrainGraceMs, 0, kMaximumDrainGraceMs));
   ReadDrainGraceText(root, settings);
   ReadRetryBudget(root, settings, faults);
+  ReadColdStarts(root, settings, faults);
   if (settings.interface == platform_interface::kCatalog &&
       settings.readiness.address.empty()) {
     root.AddFault(
--- a/Libraries/LibNode/settings.h
+++ b/Libraries/LibNode/settings.h
@@ -54,6 +54,11 @@
   /// number of retries beyond that. Only with platform_interface::kCatalog.
   double retry_share = 0.1;
   std::uint32_t retry_slack = 0;
+  /// How far the limit of a service on its cold backend servers may be
+  /// exceeded: in a second, `cold_overage` times its rate and `cold_slack`
+  /// requests. Only with platform_interface::kCatalog.
+  double cold_overage = 1.0;
+  std::uint32_t cold_slack = 0;
   std::chrono::milliseconds drain_grace{
       30'000};  ///< A planned stop does not wait longer for requests in flight.
   std::chrono::milliseconds join_wait{
--- a/Libraries/LibNode/traffic_start.cc
+++ b/Libraries/LibNode/traffic_start.cc
@@ -23,6 +23,8 @@
           .seed = seed,
           .maximum_descriptors = settings.maximum_descriptors,
           .fields = {},
+          .cold_overage = settings.cold_overage,
+          .cold_slack = settings.cold_slack,
           .retries = {}};
 }
 
--- a/Libraries/LibRouting/routing_snapshot.h
+++ b/Libraries/LibRouting/routing_snapshot.h
@@ -26,6 +26,7 @@
                                   ///< no better upstream is left.
   std::string backend_server_id;  ///< Names one start of the backend server;
                                   ///< empty if the platform gives no id.
+  bool is_evacuated = false;      ///< Its failure domain is evacuated.
 };
 
 /// The backend server on this node's own VM.
@@ -36,6 +37,16 @@
   /// When this node first learned that it is leaving, or that its registration
   /// is gone; zero if it is available.
   time_point leaving_since{};
+  /// Since when its failure domain has been evacuated; zero if it is not.
+  time_point evacuated_since{};
+  /// When its last evacuation ended; zero if there was none.
+  time_point evacuation_ended_at{};
+  /// Identifies its start, over all starts under one id; 0 if unknown.
+  std::uint64_t incarnation = 0;
+  /// What it last stated about being cold, and when this node read that; zero
+  /// if it stated nothing.
+  std::chrono::milliseconds cold_remaining{0};
+  time_point cold_stated_at{};
 };
 
 /// The upstreams of one service. Immutable, and shared by successive snapshots
--- a/Libraries/LibTraffic/request_fields.h
+++ b/Libraries/LibTraffic/request_fields.h
@@ -30,6 +30,8 @@
   /// Takes effect only where backend servers have ids, since these tell one
   /// start of a backend server from the next.
   std::string_view leaving = "X-Backend-Leaving";
+  /// In a backend server's health answer: how many milliseconds it stays cold.
+  std::string_view cold_time;
   /// Whether a backend server's answer may have no length and end when the
   /// connection is closed. A reset counts as truncation.
   bool may_end_with_connection = false;
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -35,6 +35,10 @@
   /// How many descriptors the process may have open; 0 if unknown.
   std::uint32_t maximum_descriptors = 0;
   request_fields fields;
+  /// How far the rate of a cold backend server may be exceeded; see
+  /// node_settings.
+  double cold_overage = 1.0;
+  std::uint32_t cold_slack = 0;
   fleet_retry_limits retries;  ///< Share 0: each route's own policy applies.
 };
 
