LibTraffic: Keep the clock of a node beyond its connections

The estimate was kept with the connection, so the first request on each new connection stated none, and the owner counted the time left from when it read the request.

Change: the estimate belongs to the node at the other end and lives in the connection pool.

The first hop is not covered: how long a caller's request lay unread at its entry node.

--- a/Libraries/LibTraffic/connection_pool.h
+++ b/Libraries/LibTraffic/connection_pool.h
@@ -6,6 +6,7 @@
 
 #include "LibBase/endpoint.h"
 #include "LibTraffic/http_connection.h"
+#include "LibTraffic/peer_clock.h"
 
 namespace wagtailmount::detail {
 
@@ -28,8 +29,15 @@
   /// cut off, and each of them would cost a request its deadline.
   void CloseIdleSince(const endpoint& target, time_point since);
 
+  /// The clock of the node at `target`, as far as its answers have shown it.
+  /// Kept beyond its connections: a request on a new connection may lie unread
+  /// there for longest.
+  peer_clock& ClockOf(const endpoint& target) { return clocks_[target]; }
+
  private:
   std::map<endpoint, std::vector<std::unique_ptr<http_connection>>> idle_;
+  /// One for each node ever called, which is few enough to keep.
+  std::map<endpoint, peer_clock> clocks_;
 };
 
 /// Opens a connection; null when that fails or takes longer than
--- a/Libraries/LibTraffic/http_connection.h
+++ b/Libraries/LibTraffic/http_connection.h
@@ -5,7 +5,6 @@
 
 #include "LibBase/clock.h"
 #include "LibTraffic/http_types.h"
-#include "LibTraffic/peer_clock.h"
 
 namespace wagtailmount::detail {
 
@@ -67,7 +66,6 @@
   /// X-Request-Id of the last complete exchange, by which a second copy of its
   /// answer is recognized; empty before the first.
   std::string last_request_id;
-  peer_clock clock;  ///< Of the other node; hop connections only.
 };
 
 }  // namespace wagtailmount::detail
--- a/Libraries/LibTraffic/owner_call.cc
+++ b/Libraries/LibTraffic/owner_call.cc
@@ -106,14 +106,14 @@
 }
 
 // Must be called before the project's fields are removed from the answer.
-void RecordOwnerClock(http_connection& connection, const attempt_result& result,
+void RecordOwnerClock(peer_clock& clock, const attempt_result& result,
                       time_point now) {
   if (!result.answer) {
     return;
   }
   if (const auto stated =
           ParseNumber(FieldOf(result.answer->message, kClockField))) {
-    connection.clock.Record(now, std::chrono::milliseconds{*stated});
+    clock.Record(now, std::chrono::milliseconds{*stated});
   }
 }
 
@@ -137,13 +137,13 @@
   }
   const time_point begin = clock.Now();
   PrepareForOwner(incoming.request.message, owner, incoming, attempt, begin,
-                  connection->clock);
+                  worker.pool.ClockOf(owner.hop));
   SetKnownRateLimit(incoming.request.message, worker.state, owner);
   SetKnownCrashes(incoming.request, worker.state);
   result = co_await Exchange(connection, incoming.request, incoming.deadline,
                              clock, {.id = request_id_rule::kRequired}, watch);
+  RecordOwnerClock(worker.pool.ClockOf(owner.hop), result, clock.Now());
   if (connection != nullptr) {
-    RecordOwnerClock(*connection, result, clock.Now());
     worker.pool.Keep(owner.hop, std::move(connection), clock.Now());
   } else if (IsUnanswered(result.outcome)) {
     worker.pool.CloseIdleSince(owner.hop, begin);
--- a/Libraries/LibTraffic/peer_clock.h
+++ b/Libraries/LibTraffic/peer_clock.h
@@ -7,8 +7,8 @@
 
 namespace wagtailmount::detail {
 
-/// Estimates the monotonic clock of the node at the other end of a connection
-/// from the times that it states in its answers. With it, a deadline is sent as
+/// Estimates the monotonic clock of another node from the times that it states
+/// in its answers. With it, a deadline is sent as
 /// a point on that node's clock, so that the time which a request spends on a
 /// full link, or unread in a stalled process, counts towards the deadline. No
 /// common clock is needed.
--- a/Tests/LibTraffic/test_hop_age.cc
+++ b/Tests/LibTraffic/test_hop_age.cc
@@ -1,13 +1,20 @@
 // Requests between nodes that spent a part of their time on the way.
 
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <boost/test/unit_test.hpp>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include "LibTraffic/peer_clock.h"
+#include "Tests/LibTraffic/raw_http.h"
 #include "Tests/LibTraffic/traffic_fixture.h"
 
 using namespace wagtailmount::testing;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
+using wagtailmount::endpoint;
 using wagtailmount::detail::StatedTime;
 
 namespace {
@@ -32,6 +39,71 @@
   }
 };
 
+// An owner that states its clock and ends the connection after each answer.
+class closing_owner {
+ public:
+  explicit closing_owner(int answers) : listener_(Listen(address_)) {
+    thread_ = std::thread([this, answers] {
+      for (int count = 0; count < answers; ++count) {
+        AnswerNext();
+      }
+    });
+  }
+  closing_owner(const closing_owner&) = delete;
+  closing_owner& operator=(const closing_owner&) = delete;
+  ~closing_owner() {
+    WaitForEnd();
+    close(listener_);
+  }
+
+  const endpoint& Address() const { return address_; }
+  /// Waits until all answers have been given and returns the header section of
+  /// each request.
+  const std::vector<std::string>& Heads() {
+    WaitForEnd();
+    return heads_;
+  }
+
+ private:
+  static int Listen(const endpoint& address) {
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in bound = AddressOf(address);
+    BOOST_REQUIRE(bind(listener, reinterpret_cast<const sockaddr*>(&bound),
+                       sizeof bound) == 0);
+    BOOST_REQUIRE(listen(listener, 1) == 0);
+    const timeval patience{.tv_sec = 10, .tv_usec = 0};
+    setsockopt(listener, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    return listener;
+  }
+
+  void WaitForEnd() {
+    if (thread_.joinable()) {
+      thread_.join();
+    }
+  }
+
+  void AnswerNext() {
+    const int connection = accept(listener_, nullptr, nullptr);
+    std::string head;
+    while (head.find("\r\n\r\n") == std::string::npos &&
+           ReceiveSome(connection, head)) {
+    }
+    const auto now = StatedTime(std::chrono::steady_clock::now()).count();
+    SendAll(connection,
+            "HTTP/1.1 200 OK\r\nWagtailmount-Verdict: ran\r\nX-Request-Id: " +
+                HeaderValue(head, "X-Request-Id") +
+                "\r\nWagtailmount-Clock: " + std::to_string(now) +
+                "\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok");
+    heads_.push_back(head);
+    close(connection);
+  }
+
+  endpoint address_ = FreeEndpoint();
+  int listener_ = -1;
+  std::vector<std::string> heads_;
+  std::thread thread_;
+};
+
 }  // namespace
 
 BOOST_FIXTURE_TEST_SUITE(hop_age_suite, hop_age_fixture)
@@ -72,4 +144,19 @@
   }
 }
 
+// Each connection learned the other node's clock anew, so the first request on
+// one could lie unread there until long after its deadline, and then start.
+BOOST_AUTO_TEST_CASE(TheFirstRequestOnANewConnectionStatesItsDeadline) {
+  closing_owner owner{2};
+  Publish(
+      [&owner](wagtailmount::upstream& each) { each.hop = owner.Address(); });
+  BOOST_TEST(Call(Entry().caller_address, "GET", "/").status == 200);
+  BOOST_TEST(Call(Entry().caller_address, "GET", "/").status == 200);
+  BOOST_REQUIRE(owner.Heads().size() == 2U);
+  BOOST_TEST(HeaderValue(owner.Heads()[0], "Wagtailmount-Owner-Deadline") ==
+             "");
+  BOOST_TEST(HeaderValue(owner.Heads()[1], "Wagtailmount-Owner-Deadline") !=
+             "");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
