LibLoad: Learn durations per kind of request

Calls between services have the rank of the requests that cause them. An owner learned one mean duration a rank, so calls of some 21 ms with an objective of 80 ms were judged by postings of 110 ms, counted as late before they started, and were refused. A longer objective for calls was ruled out: it is the callers' own.

A kind that has not run yet counts as on time, so that it can be learned. The wait counts the work that is queued and running, kind by kind.

Measured: unit tests of LibLoad, LibRouting and LibTraffic pass.

--- a/Libraries/LibLoad/admission_controller.cc
+++ b/Libraries/LibLoad/admission_controller.cc
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// The newest request weighs 1/16 in a mean duration.
-constexpr int kMeanDurationDivisor = 16;
 /// A late request may wait for this part of the time left until its deadline:
 /// a half while most of the late requests before it were started, else a sixth.
 /// With a half, the waits of a caller that may retry twice add up to more than
@@ -30,12 +28,6 @@
 /// The newest late request weighs 1/16 in that share.
 constexpr double kStartedShareDivisor = 16.0;
 
-void UpdateMean(duration& mean, duration taken) {
-  mean = mean == duration::zero()
-             ? taken
-             : mean + (taken - mean) / kMeanDurationDivisor;
-}
-
 }  // namespace
 
 bool IsLate(time_point now, const arriving_request& arriving,
@@ -69,19 +61,36 @@
   return count;
 }
 
-duration admission_controller::MeanDuration(request_priority rank) const {
-  const auto found = mean_duration_of_rank_.find(rank);
-  return found == mean_duration_of_rank_.end() ? mean_duration_ : found->second;
+// The slot that is freed next has run for a part of this, and the next start
+// there takes its place in the count of the work ahead.
+duration admission_controller::MeanWorkOfRunning(time_point now) const {
+  if (running_.empty()) {
+    return durations_.OfAll();
+  }
+  duration work{};
+  for (const auto& [id, each] : running_) {
+    work += WorkOf(now, each.rank, each.kind);
+  }
+  return work / static_cast<std::int64_t>(running_.size());
+}
+
+// What a request is expected to take of a slot, whether or not its kind has run
+// lately.
+duration admission_controller::WorkOf(time_point now, request_priority rank,
+                                      request_kind kind) const {
+  const duration service = durations_.Of(now, rank, kind);
+  return service == duration::zero() ? durations_.OfAll() : service;
 }
 
 duration admission_controller::ExpectedWait(time_point now,
                                             queue_key key) const {
-  duration work = mean_duration_;
+  duration work = MeanWorkOfRunning(now);
   std::size_t ahead = 0;
   for (const auto& [other, queue] : waiting_) {
     if (other <= key) {
-      work +=
-          MeanDuration(other.rank) * static_cast<std::int64_t>(queue.size());
+      for (const waiting_request& each : queue) {
+        work += each.work;
+      }
       ahead += queue.size();
     }
   }
@@ -126,13 +135,14 @@
   if (running_.size() < Slots() && Queued() == 0 && rate_.TryTake(now)) {
     reply.decided = admission_reply::kind::kStart;
     reply.id = ++last_id_;
-    running_.emplace(reply.id, running_request{now, arriving.rank});
+    running_.emplace(reply.id,
+                     running_request{now, arriving.rank, arriving.kind});
     CountStart(arriving.rank);
     return reply;
   }
   // A request that would wait for too long is refused at once, while there is
   // still time to try another upstream.
-  const duration service = MeanDuration(arriving.rank);
+  const duration service = durations_.Of(now, arriving.rank, arriving.kind);
   const queue_key key{arriving.rank, IsLate(now, arriving, service)};
   const bool allows_long_wait =
       key.is_late && StartedShareOfLate(key.rank) >= kLongLateWaitShare;
@@ -152,7 +162,8 @@
   reply.decided = admission_reply::kind::kQueued;
   reply.id = ++last_id_;
   reply.start_by = now + longest_wait;
-  waiting_[key].push_back({reply.id, arriving, reply.start_by});
+  waiting_[key].push_back({reply.id, arriving, reply.start_by,
+                           WorkOf(now, arriving.rank, arriving.kind)});
   return reply;
 }
 
@@ -183,7 +194,8 @@
     return effects;
   }
   if (has_run) {
-    RecordDuration(found->second.rank, now - found->second.since);
+    durations_.Record(now, found->second.rank, found->second.kind,
+                      now - found->second.since);
   }
   running_.erase(found);
   RefuseExpired(now, effects);
@@ -263,8 +275,9 @@
       continue;
     }
     const admission_id id = queue.front().id;
+    running_.emplace(
+        id, running_request{now, key.rank, queue.front().request.kind});
     queue.pop_front();
-    running_.emplace(id, running_request{now, key.rank});
     CountStart(key.rank);
     effects.push_back({id, refusal_cause::kNone});
     CountLateOutcome(key, true);
@@ -284,15 +297,9 @@
   }
 }
 
-void admission_controller::RecordDuration(request_priority rank,
-                                          duration taken) {
-  UpdateMean(mean_duration_, taken);
-  UpdateMean(mean_duration_of_rank_[rank], taken);
-}
-
-owner_load admission_controller::Load(time_point now,
-                                      request_priority rank) const {
-  return {ExpectedWait(now, {rank, false}), MeanDuration(rank),
+owner_load admission_controller::Load(time_point now, request_priority rank,
+                                      request_kind kind) const {
+  return {ExpectedWait(now, {rank, false}), durations_.Of(now, rank, kind),
           static_cast<std::uint32_t>(UsableSlots()), duration::zero()};
 }
 
@@ -302,7 +309,8 @@
   if (!rate_.Rate()) {
     return Slots();
   }
-  const double running = std::ceil(*rate_.Rate() * SecondsOf(mean_duration_));
+  const double running =
+      std::ceil(*rate_.Rate() * SecondsOf(durations_.OfAll()));
   const auto slots = static_cast<double>(Slots());
   return static_cast<std::size_t>(
       std::clamp(running, 1.0, std::max(1.0, slots)));
--- a/Libraries/LibLoad/admission_controller.h
+++ b/Libraries/LibLoad/admission_controller.h
@@ -12,6 +12,7 @@
 #include "LibConfig/configuration.h"
 #include "LibLoad/attempt_outcome.h"
 #include "LibLoad/rate_limiter.h"
+#include "LibLoad/service_times.h"
 
 namespace wagtailmount {
 
@@ -26,6 +27,7 @@
   /// The time by which an answer meets the latency objective; zero if unknown.
   /// Then the request may wait until its deadline.
   time_point objective{};
+  request_kind kind = kUnknownKind;
 };
 
 /// What happens to a queued request as another one arrives or ends.
@@ -124,8 +126,10 @@
   /// because it was started or refused.
   bool Withdraw(admission_id id);
 
-  /// Returns the reported load for requests of `rank`; `held` is zero.
-  owner_load Load(time_point now, request_priority rank) const;
+  /// Returns the reported load for requests of `rank` and `kind`; `held` is
+  /// zero. Its service time is zero while none of that kind has run.
+  owner_load Load(time_point now, request_priority rank,
+                  request_kind kind = kUnknownKind) const;
 
   std::size_t Running() const { return running_.size(); }
   std::size_t Queued() const;
@@ -143,11 +147,13 @@
     admission_id id;
     arriving_request request;
     time_point start_by;
+    duration work;  ///< Expected time once started.
   };
 
   struct running_request {
     time_point since;
     request_priority rank;
+    request_kind kind;
   };
 
   std::size_t Slots() const;
@@ -158,20 +164,20 @@
   bool EvictFromLaterQueue(queue_key key,
                            std::vector<admission_effect>& effects);
   duration ExpectedWait(time_point now, queue_key key) const;
-  duration MeanDuration(request_priority rank) const;
+  duration MeanWorkOfRunning(time_point now) const;
+  duration WorkOf(time_point now, request_priority rank,
+                  request_kind kind) const;
   double ShareOfEarlierRanks(request_priority rank) const;
   void CountStart(request_priority rank);
   double& StartedShareOfLate(request_priority rank);
   void CountLateOutcome(queue_key key, bool is_started);
-  void RecordDuration(request_priority rank, duration taken);
 
   upstream_limits limits_;
   rate_limiter rate_;
   admission_id last_id_ = 0;
   std::map<admission_id, running_request> running_;
   std::map<queue_key, std::deque<waiting_request>> waiting_;
-  duration mean_duration_{};
-  std::map<request_priority, duration> mean_duration_of_rank_;
+  service_times durations_;
   /// Of each rank: the moving average of its share of all starts.
   std::map<request_priority, double> share_of_starts_;
   /// Of each rank: the moving average of the share of queued late requests that
--- a/Libraries/LibRouting/reported_load.cc
+++ b/Libraries/LibRouting/reported_load.cc
@@ -2,7 +2,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <tuple>
 
 #include "LibRouting/spill_over_comparison.h"
 #include "LibRouting/timely_wait.h"
@@ -52,19 +51,14 @@
 void upstream_chooser::RecordReportedLoad(time_point now, std::string_view vm,
                                           const reported_load& load) {
   if (observations* const seen = Find(vm)) {
-    seen->reports[PriorityIndex(load.rank)] = {load.wait, load.service, now, 0};
+    const std::size_t place = places_.Take(now, load.rank, load.kind);
+    seen->reports[place] = {load.wait, load.service, now, 0};
     seen->reported_slots = std::max(1U, load.slots);
     seen->overhead += (load.overhead - seen->overhead) / kOverheadWeight;
-    UpdateDomainReport(now, *seen, load);
+    UpdateDomainReport(now, *seen, place, load);
   }
 }
 
-std::size_t upstream_chooser::PriorityIndex(request_priority rank) const {
-  return std::min<std::size_t>(
-      static_cast<std::size_t>(rank),
-      std::tuple_size_v<decltype(observations::reports)> - 1);
-}
-
 std::size_t upstream_chooser::FindOrAddDomain(const std::string& name) {
   const auto found = std::find_if(
       domains_.begin(), domains_.end(),
@@ -79,9 +73,9 @@
 // Averages the reports, since the owners of one failure domain differ.
 void upstream_chooser::UpdateDomainReport(time_point now,
                                           const observations& seen,
+                                          std::size_t place,
                                           const reported_load& load) {
-  load_report& report =
-      domains_[seen.domain_index].reports[PriorityIndex(load.rank)];
+  load_report& report = domains_[seen.domain_index].reports[place];
   if (!IsRecent(now, report.at)) {
     report = {load.wait, load.service, now, 0};
     return;
@@ -96,16 +90,16 @@
 // Returns whether the owner itself reported its load recently.
 bool upstream_chooser::HasRecentReport(time_point now,
                                        const observations& seen) const {
-  return IsRecent(now, seen.reports[PriorityIndex(criteria_.rank)].at);
+  return IsRecent(now, seen.reports[place_].at);
 }
 
 // Returns the owner's own report if it is recent, else the average of its
 // failure domain, which may be old as well.
 const upstream_chooser::load_report& upstream_chooser::LatestReport(
     time_point now, const observations& seen) const {
-  const std::size_t rank = PriorityIndex(criteria_.rank);
-  return HasRecentReport(now, seen) ? seen.reports[rank]
-                                    : domains_[seen.domain_index].reports[rank];
+  return HasRecentReport(now, seen)
+             ? seen.reports[place_]
+             : domains_[seen.domain_index].reports[place_];
 }
 
 bool upstream_chooser::IsLoadKnown(time_point now,
@@ -131,8 +125,8 @@
 // time of the attempts begun since the report.
 double upstream_chooser::EstimatedWait(time_point now,
                                        const observations& seen) const {
-  const std::size_t rank = PriorityIndex(criteria_.rank);
-  const load_report& domain_average = domains_[seen.domain_index].reports[rank];
+  const load_report& domain_average =
+      domains_[seen.domain_index].reports[place_];
   const double domain_wait = IsRecent(now, domain_average.at)
                                  ? SecondsOf(domain_average.wait) *
                                        RemainingWeight(now, domain_average.at)
@@ -140,7 +134,7 @@
   if (!HasRecentReport(now, seen)) {
     return domain_wait;
   }
-  const load_report& report = seen.reports[rank];
+  const load_report& report = seen.reports[place_];
   const double weight = RemainingWeight(now, report.at);
   return SecondsOf(report.wait) * weight + domain_wait * (1.0 - weight) +
          SecondsOf(report.service) * report.attempts_since_report /
--- a/Libraries/LibRouting/upstream_choice.cc
+++ b/Libraries/LibRouting/upstream_choice.cc
@@ -79,6 +79,7 @@
     random_source& random, const placement_criteria& criteria) {
   AlignObservations(now, upstreams);
   criteria_ = criteria;
+  place_ = places_.Take(now, criteria.rank, criteria.kind);
   are_all_full_ = false;
   median_latency_ = MedianLatency();
   for (const availability wanted :
@@ -106,7 +107,7 @@
 void upstream_chooser::Begin(std::string_view vm) {
   if (observations* const seen = Find(vm)) {
     ++seen->outstanding;
-    ++seen->reports[PriorityIndex(criteria_.rank)].attempts_since_report;
+    ++seen->reports[place_].attempts_since_report;
   }
 }
 
--- a/Libraries/LibRouting/upstream_choice.h
+++ b/Libraries/LibRouting/upstream_choice.h
@@ -11,6 +11,7 @@
 
 #include "LibBase/clock.h"
 #include "LibBase/random.h"
+#include "LibRouting/kind_places.h"
 #include "LibRouting/routing_snapshot.h"
 
 namespace wagtailmount {
@@ -55,15 +56,18 @@
   duration objective_left{};
   /// Expected size of request and answer together, in bytes.
   std::size_t bytes = 0;
+  request_kind kind = kUnknownKind;
 };
 
-/// The load that an upstream's owner reported for requests of one priority.
+/// The load that an upstream's owner reported for requests of one priority and
+/// kind.
 struct reported_load {
   request_priority rank = request_priority::kInteractive;
   duration wait{};     ///< Expected queue wait of such a request.
   duration service{};  ///< Mean service time once started.
   std::uint32_t slots = 0;
   duration overhead{};  ///< Time of the attempt not spent at the owner.
+  request_kind kind = kUnknownKind;
 };
 
 /// Chooses among the upstreams of one service, for one traffic thread. Decides
@@ -137,8 +141,8 @@
     time_point at{};
     std::uint32_t attempts_since_report = 0;
   };
-  /// Indexed by priority; priorities beyond the last index share it.
-  using load_reports = std::array<load_report, 4>;
+  /// Indexed by the places of kinds.
+  using load_reports = std::array<load_report, kind_places::kCount>;
 
   /// Averages over the upstreams of one failure domain. They stand in for an
   /// upstream that this thread has not called recently.
@@ -198,13 +202,12 @@
                    duration slow_start, random_source& random) const;
   double ExpectedTime(time_point now, const observations& seen) const;
   double CostOf(time_point now, std::size_t index) const;
-  std::size_t PriorityIndex(request_priority rank) const;
   bool HasRecentReport(time_point now, const observations& seen) const;
   bool IsLoadKnown(time_point now, const observations& seen) const;
   const load_report& LatestReport(time_point now,
                                   const observations& seen) const;
   void UpdateDomainReport(time_point now, const observations& seen,
-                          const reported_load& load);
+                          std::size_t place, const reported_load& load);
   std::size_t FindOrAddDomain(const std::string& name);
   double FailureShare(time_point now, const observations& seen) const;
   double ReportedServiceTime(time_point now, const observations& seen) const;
@@ -230,6 +233,8 @@
   std::vector<duration> latencies_;
   duration median_latency_{};
   placement_criteria criteria_;
+  kind_places places_;
+  std::size_t place_ = 0;  ///< Of the kind in `criteria_`.
   bool are_all_full_ = false;
 };
 
--- a/Libraries/LibTraffic/backend_gate.cc
+++ b/Libraries/LibTraffic/backend_gate.cc
@@ -38,9 +38,9 @@
   return {};
 }
 
-owner_load backend_gate::Load(request_priority rank) const {
+owner_load backend_gate::Load(request_priority rank, request_kind kind) const {
   const std::lock_guard lock{mutex_};
-  return admission_.Load(clock_.Now(), rank);
+  return admission_.Load(clock_.Now(), rank, kind);
 }
 
 task<slot_result> backend_gate::AcquireSlot(arriving_request arriving) {
--- a/Libraries/LibTraffic/backend_gate.h
+++ b/Libraries/LibTraffic/backend_gate.h
@@ -75,8 +75,8 @@
   /// Waits for a slot, for at most as long as the admission policy allows.
   task<slot_result> AcquireSlot(arriving_request arriving);
 
-  /// The reported load for requests of priority `rank`.
-  owner_load Load(request_priority rank) const;
+  /// The reported load for requests of priority `rank` and of `kind`.
+  owner_load Load(request_priority rank, request_kind kind) const;
 
   /// Releases a slot. Called by backend_slot only.
   void ReleaseSlot(admission_id id, slot_use use);
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -69,6 +69,7 @@
         state_(worker.state),
         incoming_(incoming),
         target_(incoming.target),
+        kind_(KindOf(incoming.chosen_route.name)),
         service_state_(worker.ServiceStateOf(target_.name)),
         upstreams_(incoming.snapshot.UpstreamsOf(target_.name)),
         watch_(incoming.caller) {
@@ -145,7 +146,7 @@
     }
     const arriving_request arriving{incoming_.deadline,
                                     incoming_.chosen_route.priority,
-                                    incoming_.objective};
+                                    incoming_.objective, kind_};
     // A request that will miss its latency objective is queued behind all
     // others; another failure domain gets it only where a slot is free.
     const duration longest_wait =
@@ -153,7 +154,8 @@
             ? kMaximumWaitOfLateRequest
             : LongestWait(now, arriving, duration::zero());
     const placement_criteria wish{arriving.rank, longest_wait,
-                                  incoming_.objective - now, ExpectedBytes()};
+                                  incoming_.objective - now, ExpectedBytes(),
+                                  kind_};
     auto choice = Choose(now, wish);
     // The platform may tell a leaving late, or not at all to a node that it
     // can't reach.
@@ -242,8 +244,8 @@
       ended = co_await RunAtBackendServer(
           worker_, owner_request{incoming_.request, watch_, incoming_.deadline,
                                  incoming_.chosen_route.priority,
-                                 incoming_.objective, std::nullopt});
-      ended.load = state_.gate.Load(incoming_.chosen_route.priority);
+                                 incoming_.objective, kind_, std::nullopt});
+      ended.load = state_.gate.Load(incoming_.chosen_route.priority, kind_);
       ended.load->held = state_.clock.Now() - begin;
     } else {
       ended = co_await RunAtOwner(worker_, incoming_, chosen, result.attempts,
@@ -257,7 +259,7 @@
           end, chosen.vm,
           {incoming_.chosen_route.priority, ended.load->wait,
            ended.load->service, ended.load->slots,
-           end - begin - ended.load->held});
+           end - begin - ended.load->held, kind_});
     }
     if (!ended.answer || IsServerError(ended.answer->message)) {
       LogAttempt(chosen, result, ended, end - begin);
@@ -340,6 +342,7 @@
   traffic_state& state_;
   entry_request& incoming_;
   const service& target_;
+  const request_kind kind_;
   service_state& service_state_;
   std::span<const upstream> upstreams_;
   std::vector<const upstream*> tried_;
--- a/Libraries/LibTraffic/header_fields.h
+++ b/Libraries/LibTraffic/header_fields.h
@@ -18,6 +18,8 @@
 /// In requests to an owner: hop_parameters as FormatHopParameters() formats
 /// them.
 inline constexpr std::string_view kHopField = "Wagtailmount-Hop";
+/// In requests to an owner: the kind of the request, as a number.
+inline constexpr std::string_view kKindField = "Wagtailmount-Kind";
 /// In an owner's answers: its reported load, as FormatLoad() formats it.
 inline constexpr std::string_view kLoadField = "Wagtailmount-Load";
 /// In an owner's answers: StatedTime() of its clock.
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -50,6 +50,7 @@
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kWrongOwner);
     }
     priority_ = parameters->rank;
+    kind_ = ParseKind(FieldOf(head, kKindField));
     const auto age = AgeOf(head, *parameters);
     if (!age) {
       co_return false;
@@ -110,7 +111,7 @@
     }
     attempt_result result = co_await RunAtBackendServer(
         worker_, owner_request{request, watch, deadline_, priority_, objective_,
-                               known_rate_limit});
+                               kind_, known_rate_limit});
     if (!result.answer) {
       // Judged as not idempotent, because the entry node decides about retries.
       const attempt_classification judged =
@@ -134,7 +135,7 @@
   }
 
   std::string OwnLoadText() const {
-    owner_load load = state_.gate.Load(priority_);
+    owner_load load = state_.gate.Load(priority_, kind_);
     load.held = state_.clock.Now() - begin_;
     return FormatLoad(load);
   }
@@ -187,6 +188,7 @@
   time_point deadline_;
   time_point objective_{};
   request_priority priority_ = request_priority::kInteractive;
+  request_kind kind_ = kUnknownKind;
   bool is_head_ = false;
 };
 
--- a/Libraries/LibTraffic/hop_text.cc
+++ b/Libraries/LibTraffic/hop_text.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <limits>
 
 #include "LibTraffic/header_fields.h"
 
@@ -82,4 +83,11 @@
   return parameters;
 }
 
+request_kind ParseKind(std::string_view text) {
+  const auto number = ParseNumber(text);
+  return number && *number <= std::numeric_limits<request_kind>::max()
+             ? static_cast<request_kind>(*number)
+             : kUnknownKind;
+}
+
 }  // namespace wagtailmount::detail
--- a/Libraries/LibTraffic/hop_text.h
+++ b/Libraries/LibTraffic/hop_text.h
@@ -7,6 +7,7 @@
 #include <string_view>
 
 #include "LibConfig/configuration.h"
+#include "LibRouting/request_kind.h"
 
 namespace wagtailmount::detail {
 
@@ -31,4 +32,9 @@
 /// limits.
 std::optional<hop_parameters> ParseHopParameters(std::string_view text);
 
+/// Parses the number of the request's kind, which is a field of its own,
+/// because nodes of earlier versions refuse further parameters; kUnknownKind if
+/// missing or malformed.
+request_kind ParseKind(std::string_view text);
+
 }  // namespace wagtailmount::detail
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -34,6 +34,7 @@
                              std::string_view deadline_field,
                              time_point deadline, time_point now) {
   message.erase(ToBoost(kHopField));
+  message.erase(ToBoost(kKindField));
   message.erase(ToBoost(kOwnerDeadlineField));
   message.erase(ToBoost(kRateLimitField));
   message.erase(ToBoost(kCrashesField));
@@ -99,7 +100,7 @@
   using std::chrono::duration_cast;
   using std::chrono::milliseconds;
   const time_point now = state.clock.Now();
-  const owner_load load = state.gate.Load(incoming.priority);
+  const owner_load load = state.gate.Load(incoming.priority, incoming.kind);
   log_line line{"owner-refused"};
   line.Text("id", FieldOf(incoming.request.message, kRequestIdField))
       .Text("cause", NameOf(cause))
@@ -182,8 +183,9 @@
   if (quarantine.IsRefused()) {
     acquired.refused = refusal_cause::kQuarantined;
   } else {
-    acquired = co_await state.gate.AcquireSlot(
-        {incoming.deadline, incoming.priority, incoming.objective});
+    acquired =
+        co_await state.gate.AcquireSlot({incoming.deadline, incoming.priority,
+                                         incoming.objective, incoming.kind});
   }
   std::unique_ptr<http_connection> connection;
   if (acquired.refused == refusal_cause::kNone) {
--- a/Libraries/LibTraffic/owner.h
+++ b/Libraries/LibTraffic/owner.h
@@ -15,6 +15,7 @@
   time_point deadline;
   request_priority priority = request_priority::kInteractive;
   time_point objective{};  ///< Zero when there is none.
+  request_kind kind = kUnknownKind;
   /// The rate limit that another node knows the backend server to have named.
   std::optional<double> known_rate_limit;
 };
--- a/Libraries/LibTraffic/owner_call.cc
+++ b/Libraries/LibTraffic/owner_call.cc
@@ -47,6 +47,8 @@
         duration_cast<milliseconds>(incoming.objective - now);
   }
   SetField(message, kHopField, FormatHopParameters(parameters));
+  SetField(message, kKindField,
+           std::to_string(KindOf(incoming.chosen_route.name)));
 }
 
 // The owner may have been restarted since, and know of no limit.
