Tests/Process: Keep and print what a fleet leaves that fails to start

Cause: a fleet whose start failed removed its folder and printed nothing, because its exit was told of no failure; so the failed starts of Process.configuration could not be traced.

Change: the exit is told of it, which keeps the folder. All processes print their exit status and last lines, and a node that ends by itself fails the start at once, by its status.

--- a/Tests/Process/fleet.py
+++ b/Tests/Process/fleet.py
@@ -7,6 +7,7 @@
 import pathlib
 import random
 import shutil
+import sys
 import tempfile
 import threading
 import time
@@ -16,6 +17,7 @@
 PLATFORM_RATE = 2000
 FAILURE_DOMAINS = ["fsd-hall", "lhr-hall", "mux-hall", "gjw-hall"]
 EVENT_POLL_SECONDS = 0.1
+PRINTED_LINES = 40  # Of each process of a fleet that failed.
 
 
 class Fleet:
@@ -122,7 +124,7 @@
             self.wait_serving()
             self.name_processes()
         except BaseException:
-            self.__exit__(None, None, None)
+            self.__exit__(*sys.exc_info())
             raise
         return self
 
@@ -143,10 +145,15 @@
                 self.platform]
 
     def print_ends(self):
+        for process in self.processes():
+            if not process.popen:
+                continue
+            lines = process.output.read_text(errors="replace").splitlines()
+            print(f"-- {process.name}: exit status {process.popen.poll()}",
+                  *lines[-PRINTED_LINES:], sep="\n   ")
         for node in self.nodes.values():
-            lines = node.output.read_text(errors="replace").splitlines() if (
-                node.popen) else []
-            print(f"-- {node.vm}: {node.status()}", *lines[-8:], sep="\n   ")
+            print(f"-- {node.vm}: listens on {node.listen},"
+                  f" status {node.status()}")
 
     def _poll(self):
         while self._polls:
@@ -157,7 +164,10 @@
 
     def wait_serving(self, nodes=None, seconds=20):
         for node in nodes or self.nodes.values():
-            wait_until(f"{node.vm} serves", node.is_serving, seconds)
+            wait_until(f"{node.vm} serves", node.is_serving_or_ended, seconds)
+            if not node.is_running():
+                raise AssertionError(f"{node.vm} ended by itself, exit status"
+                                     f" {node.popen.returncode}")
 
     def name_processes(self):
         """Tells the relay which process is which VM; call it after starts."""
--- a/Tests/Process/processes.py
+++ b/Tests/Process/processes.py
@@ -168,6 +168,9 @@
         status = self.status()
         return bool(status) and status["phase"] == "serving"
 
+    def is_serving_or_ended(self):
+        return not self.is_running() or self.is_serving()
+
     def poll_events(self):
         """Adds the events that the node has told of since the last look."""
         with self._events_lock:
