LibTraffic: Begin the trial of a quarantined request only with its run

Cause: the last check of an owner began the trial first and then looked whether another suspect request runs.

Change: one step under one lock decides both, the other suspect first.

Measured: ATrialRefusedForAnotherSuspectIsStillDue failed before (503 for 200 at the second call) and passes.

--- a/Libraries/LibTraffic/quarantine_check.cc
+++ b/Libraries/LibTraffic/quarantine_check.cc
@@ -42,18 +42,13 @@
   if (!suspect_) {
     return refusal_cause::kNone;
   }
-  const bool is_allowed =
-      state_.quarantine.StandingOf(*suspect_) == request_standing::kAllowed;
-  if (!is_allowed &&
-      !(IsTrialHere() && state_.quarantine.TryBeginTrial(*suspect_))) {
-    return refusal_cause::kQuarantined;
-  }
   known_crashes_ = state_.quarantine.CrashesOf(*suspect_);
-  if (!state_.quarantine.TryBeginRun(*suspect_, known_crashes_)) {
-    return refusal_cause::kOverloaded;
+  const refusal_cause refused =
+      state_.quarantine.TryBeginRun(*suspect_, known_crashes_, IsTrialHere());
+  if (refused == refusal_cause::kNone) {
+    running_ = suspect_;
   }
-  running_ = suspect_;
-  return refusal_cause::kNone;
+  return refused;
 }
 
 quarantine_check::~quarantine_check() {
--- a/Libraries/LibTraffic/request_quarantine.cc
+++ b/Libraries/LibTraffic/request_quarantine.cc
@@ -43,21 +43,6 @@
   return ledger_.ReportsOf(clock_.Now(), request);
 }
 
-bool request_quarantine::TryBeginTrial(const request_fingerprint& request) {
-  const std::lock_guard lock{mutex_};
-  const time_point now = clock_.Now();
-  if (ledger_.StandingOf(now, request) != request_standing::kTrialDue) {
-    return false;
-  }
-  ledger_.BeginTrial(now, request);
-  if (log_ != nullptr) {
-    log_line line{"quarantine-trial"};
-    line.Text("request", request.whole.ToShortHex());
-    log_->Add(std::move(line));
-  }
-  return true;
-}
-
 request_fingerprint request_quarantine::RecordCrash(
     const outgoing_request& request, std::string_view backend,
     std::uint32_t known_before) {
@@ -116,19 +101,39 @@
       });
 }
 
-bool request_quarantine::TryBeginRun(const request_fingerprint& request,
-                                     std::uint32_t known_crashes) {
+bool request_quarantine::MustWait(const request_fingerprint& request,
+                                  std::uint32_t known_crashes) const {
+  return known_crashes > 1 && std::any_of(running_.begin(), running_.end(),
+                                          [&](const suspect_run& each) {
+                                            return each.request != request &&
+                                                   each.known_crashes > 1;
+                                          });
+}
+
+refusal_cause request_quarantine::TryBeginRun(
+    const request_fingerprint& request, std::uint32_t known_crashes,
+    bool is_trial_here) {
   const std::lock_guard lock{mutex_};
-  const bool must_wait =
-      known_crashes > 1 && std::any_of(running_.begin(), running_.end(),
-                                       [&](const suspect_run& each) {
-                                         return each.request != request &&
-                                                each.known_crashes > 1;
-                                       });
-  if (!must_wait) {
-    running_.push_back({request, known_crashes});
+  const time_point now = clock_.Now();
+  const request_standing standing = ledger_.StandingOf(now, request);
+  const bool is_trial = standing == request_standing::kTrialDue;
+  if (standing == request_standing::kQuarantined ||
+      (is_trial && !is_trial_here)) {
+    return refusal_cause::kQuarantined;
+  }
+  if (MustWait(request, known_crashes)) {
+    return refusal_cause::kOverloaded;
+  }
+  if (is_trial) {
+    ledger_.BeginTrial(now, request);
+    if (log_ != nullptr) {
+      log_line line{"quarantine-trial"};
+      line.Text("request", request.whole.ToShortHex());
+      log_->Add(std::move(line));
+    }
   }
-  return !must_wait;
+  running_.push_back({request, known_crashes});
+  return refusal_cause::kNone;
 }
 
 void request_quarantine::EndRun(const request_fingerprint& request) {
--- a/Libraries/LibTraffic/request_quarantine.h
+++ b/Libraries/LibTraffic/request_quarantine.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "LibBase/clock.h"
+#include "LibLoad/attempt_outcome.h"
 #include "LibLoad/crash_ledger.h"
 #include "LibLog/structured_log.h"
 #include "LibTraffic/http_message.h"
@@ -37,15 +38,14 @@
   std::uint32_t CrashesOf(const request_fingerprint& request) const;
   std::vector<crash_report> ReportsOf(const request_fingerprint& request) const;
 
-  /// Starts the trial of a request if it is due; false if it is not.
-  bool TryBeginTrial(const request_fingerprint& request);
-
   /// Registers that a request under which `known_crashes` are known runs at
-  /// this VM's backend server, until EndRun(). False if it must not run now: of
-  /// the requests with more than one crash, one runs at a time, so that the
-  /// next crash tells which of them caused it.
-  bool TryBeginRun(const request_fingerprint& request,
-                   std::uint32_t known_crashes);
+  /// this VM's backend server, until EndRun(), and returns kNone; or returns
+  /// why it must not run now. A trial begins only with its run; `is_trial_here`
+  /// tells whether this VM is where it is made. Of the requests with more than
+  /// one crash, one runs at a time, so that the next crash tells which of them
+  /// caused it.
+  refusal_cause TryBeginRun(const request_fingerprint& request,
+                            std::uint32_t known_crashes, bool is_trial_here);
   void EndRun(const request_fingerprint& request);
 
   /// Records that this VM's backend server, with the id `backend` if it has
@@ -80,6 +80,8 @@
   std::vector<crash_report> MergeLocked(std::span<const crash_report> reports);
   void AddNews(std::span<const crash_report> news);
   std::uint64_t NameCrash(std::string_view backend);
+  bool MustWait(const request_fingerprint& request,
+                std::uint32_t known_crashes) const;
   bool IsMostSuspect(const request_fingerprint& request,
                      std::uint32_t known_crashes) const;
 
--- a/Tests/LibTraffic/test_quarantine.cc
+++ b/Tests/LibTraffic/test_quarantine.cc
@@ -71,22 +71,35 @@
     return vm.server->CrashReports().Summary().size();
   }
 
-  // Lets all nodes know of two crashes under "GET /tried", long enough ago for
-  // a trial.
-  void QuarantineTried() {
+  static request_fingerprint FingerprintOfGet(const char* target) {
     wagtailmount::detail::outgoing_request request;
     request.message.method_string("GET");
-    request.message.target("/tried");
+    request.message.target(target);
     request.message.set(boost::beast::http::field::host, "ledger");
-    tried = wagtailmount::detail::FingerprintOf(request, {});
-    constexpr std::chrono::seconds kAge{31};
-    const std::vector<crash_report> reports{{tried, 1, 1, false, kAge},
-                                            {tried, 2, 2, false, kAge}};
+    return wagtailmount::detail::FingerprintOf(request, {});
+  }
+
+  void TellAllNodes(const std::vector<crash_report>& reports) {
     for (test_vm* const each : Nodes()) {
       each->server->CrashReports().Merge(reports);
     }
   }
 
+  // Lets all nodes know of two crashes under "GET /tried", long enough ago for
+  // a trial.
+  void QuarantineTried() {
+    tried = FingerprintOfGet("/tried");
+    constexpr std::chrono::seconds kAge{31};
+    TellAllNodes({{tried, 1, 1, false, kAge}, {tried, 2, 2, false, kAge}});
+  }
+
+  // Lets all nodes know of two crashes beside which "GET `target`" ran.
+  void SuspectTwice(const char* target) {
+    const request_fingerprint beside = FingerprintOfGet(target);
+    constexpr std::chrono::seconds kAge{1};
+    TellAllNodes({{beside, 3, 1, false, kAge}, {beside, 4, 1, false, kAge}});
+  }
+
   request_fingerprint tried;
 };
 
@@ -248,4 +261,19 @@
   BOOST_TEST(Crashes() == 1);
 }
 
+// The trial would show nothing beside another suspect, so it waits for its end.
+BOOST_AUTO_TEST_CASE(ATrialRefusedForAnotherSuspectIsStillDue) {
+  SuspectTwice("/beside");
+  QuarantineTried();
+  Publish([](upstream& each) { each.is_leaving = each.vm != "vm-1"; });
+  std::thread beside([this] {
+    Call(Entry().caller_address, "GET", "/beside", "X-Fake: wait\r\n");
+  });
+  BOOST_TEST(Eventually([this] { return Runs() == 1; }));
+  BOOST_TEST(Call(Entry().caller_address, "GET", "/tried").status == 503);
+  Owner(1).backend_server->ReleaseWaitingRequests();
+  beside.join();
+  BOOST_TEST(Call(Entry().caller_address, "GET", "/tried").status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
