LibTraffic: Take no answer that turned a request away as its vindication

Cause: any whole answer below 500 refuted the crashes known under a request.

Change: 421 and 429 refute nothing.

Measured: AMisdirectedAnswerDoesNotSpeakForItsRequest failed before (0 reports left for 2, at all 9 nodes) and passes; TestLibTrafficQuarantine passes.

--- a/Libraries/LibTraffic/quarantine_check.cc
+++ b/Libraries/LibTraffic/quarantine_check.cc
@@ -8,6 +8,23 @@
 
 namespace wagtailmount::detail {
 
+namespace {
+
+// Whether the backend server gives this answer to a request that it runs. A
+// server error may come from one that did not run it, and by the definition of
+// the others the request was turned away.
+bool SpeaksForRequest(const http_response& answer) {
+  switch (answer.result()) {
+    case http::status::misdirected_request:
+    case http::status::too_many_requests:
+      return false;
+    default:
+      return !IsServerError(answer);
+  }
+}
+
+}  // namespace
+
 quarantine_check::quarantine_check(traffic_worker& worker,
                                    const owner_request& incoming)
     : worker_(worker),
@@ -58,8 +75,7 @@
 }
 
 task<void> quarantine_check::RecordEnd(attempt_result& result) {
-  // A server error may come from a backend server that did not run the request.
-  if (result.answer && !IsServerError(result.answer->message)) {
+  if (result.answer && SpeaksForRequest(result.answer->message)) {
     suspect_ = state_.quarantine.SuspectOf(incoming_.request);
     if (suspect_ && result.answer->remaining_body == nullptr) {
       state_.quarantine.RecordAnswer(*suspect_);
--- a/Tests/LibTraffic/fake_backend_server.cc
+++ b/Tests/LibTraffic/fake_backend_server.cc
@@ -155,7 +155,9 @@
     const std::lock_guard lock{mutex_};
     last_request_head_ = head;
     received_at_.push_back(std::chrono::steady_clock::now());
-    if (behaviour != "not-run" && behaviour != "misdirected") {
+    const bool is_run = behaviour != "not-run" && behaviour != "misdirected" &&
+                        behaviour != "plain-misdirected";
+    if (is_run) {
       ++runs_;
       ++runs_by_id_[id];
     }
@@ -294,8 +296,13 @@
                    "Content-Length: 5\r\n\r\nhello");
   }
   if (behaviour == "not-run") {
+    const std::lock_guard lock{mutex_};
+    return SendAll(socket, "HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\n" +
+                               answer_fields_ + "Content-Length: 0\r\n\r\n");
+  }
+  if (behaviour == "plain-misdirected") {
     return SendAll(socket,
-                   "HTTP/1.1 503 Busy\r\nX-Not-Run: true\r\n"
+                   "HTTP/1.1 421 Misdirected Request\r\n"
                    "Content-Length: 0\r\n\r\n");
   }
   if (behaviour == "misdirected") {
--- a/Tests/LibTraffic/fake_backend_server.h
+++ b/Tests/LibTraffic/fake_backend_server.h
@@ -34,6 +34,7 @@
 ///   wrong-id          answers with the X-Request-Id of another request
 ///   not-run           503 with X-Not-Run: true, without running the request
 ///   misdirected       421 with X-Not-Run: true, without running the request
+///   plain-misdirected  421 alone, without running the request
 ///   copy              answers twice
 ///   late-copy         answers; a second copy precedes the next answer
 ///   garbage           answers with bytes that are not HTTP
@@ -68,7 +69,7 @@
   /// How many endless answers are being sent.
   int EndlessAnswers() const { return endless_answers_; }
   /// Adds header fields, each a line that ends with CRLF, to the answers with a
-  /// length that are sent from now on.
+  /// body of stated length and to those of "not-run", from now on.
   void SetAnswerFields(const std::string& lines);
   /// The greatest number of requests received within any `window` that begins
   /// at `from` or later.
--- a/Tests/LibTraffic/test_quarantine.cc
+++ b/Tests/LibTraffic/test_quarantine.cc
@@ -276,4 +276,16 @@
   BOOST_TEST(Call(Entry().caller_address, "GET", "/tried").status == 200);
 }
 
+// Another start of the backend server gave it, which did not run the request.
+BOOST_AUTO_TEST_CASE(AMisdirectedAnswerDoesNotSpeakForItsRequest) {
+  SuspectTwice("/lethal");
+  const auto answer = Call(Entry().caller_address, "GET", "/lethal",
+                           "X-Fake: plain-misdirected\r\n");
+  BOOST_TEST(answer.status == 421);
+  SpreadReports();
+  for (test_vm* const each : Nodes()) {
+    BOOST_TEST(KnownReports(*each) == 2U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
