LibTraffic: Pass on that a backend server which refused a request leaves

Change: every result without an answer tells the entry of the statement, as refusals before the start did already.

Measured: ARefusalInWhichABackendServerStatesItsLeavingIsRemembered failed before and passes.

--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -146,6 +146,17 @@
   }
 }
 
+time_point StatedLeavingSince(const traffic_state& state,
+                              const owner_request& incoming) {
+  return state.statements.LeavingSince(FieldOf(
+      incoming.request.message, state.settings.fields.expected_backend_server));
+}
+
+bool IsStatedToLeave(const traffic_state& state,
+                     const owner_request& incoming) {
+  return StatedLeavingSince(state, incoming) != time_point{};
+}
+
 // Since when the backend server that the request is meant for has been leaving,
 // by the newest snapshot or its own answers; zero if it is not.
 time_point LeavingSince(const traffic_state& state,
@@ -154,8 +165,7 @@
   const time_point published = snapshot != nullptr && snapshot->Own()
                                    ? snapshot->Own()->leaving_since
                                    : time_point{};
-  const time_point stated = state.statements.LeavingSince(FieldOf(
-      incoming.request.message, state.settings.fields.expected_backend_server));
+  const time_point stated = StatedLeavingSince(state, incoming);
   if (published == time_point{} || stated == time_point{}) {
     return std::max(published, stated);
   }
@@ -209,10 +219,7 @@
     ++state.counters.owner_refused;
     LogRefusal(state, incoming, acquired.refused);
     attempt_result refused = MakeRefusal(acquired.refused);
-    refused.is_backend_leaving =
-        state.statements.LeavingSince(FieldOf(
-            incoming.request.message,
-            state.settings.fields.expected_backend_server)) != time_point{};
+    refused.is_backend_leaving = IsStatedToLeave(state, incoming);
     refused.crash_reports = quarantine.ReportsText();
     co_return refused;
   }
@@ -239,6 +246,9 @@
   ConvertRefusal(result, fields.not_run);
   CheckProofOfOrigin(result, fields.proof_of_origin);
   result.has_reached_backend_server = has_reached_backend_server;
+  if (!result.answer) {
+    result.is_backend_leaving = IsStatedToLeave(state, incoming);
+  }
   co_await quarantine.RecordEnd(result);
   result.crash_reports = quarantine.ReportsText();
   if (!result.answer || IsServerError(result.answer->message)) {
--- a/Tests/LibTraffic/test_stated_leaving.cc
+++ b/Tests/LibTraffic/test_stated_leaving.cc
@@ -100,4 +100,15 @@
   BOOST_TEST(Owner(1).server->Counters().owner_refused <= 1U);
 }
 
+// The refusal is what the backend server answered itself.
+BOOST_AUTO_TEST_CASE(
+    ARefusalInWhichABackendServerStatesItsLeavingIsRemembered) {
+  Publish([](wagtailmount::upstream& each) {
+    each.is_leaving = each.vm != "vm-1";
+  });
+  Call(Entry().caller_address, "POST", "/", "X-Fake: not-run\r\n", "amount=20");
+  Publish();
+  BOOST_TEST(RunsAtLeavingAfterCalls(Entry().caller_address) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
