LibNode, LibRouting, LibLoad, LibTraffic: Send nothing to evacuated failure domains

A start under a used id inherited the leaving, removal and rate limit of the start before, and a late write of the earlier one could replace the later.

An upstream starts slowly after its evacuation. Starts are told apart by id and birth in the directory and in what backend servers stated.

--- a/Libraries/LibCatalog/upstream_directory.cc
+++ b/Libraries/LibCatalog/upstream_directory.cc
@@ -16,6 +16,17 @@
 /// can go on serving.
 constexpr std::chrono::minutes kLeavingRetention{5};
 
+// A platform that was restored counts creations anew, so a stated birth tells
+// more than the creation of the registration.
+bool IsLaterStart(const registered_upstream& left,
+                  const registered_upstream& right) {
+  const std::int64_t born = left.record.born;
+  const std::int64_t other = right.record.born;
+  return born != 0 && other != 0 && born != other
+             ? born > other
+             : left.created > right.created;
+}
+
 std::uint64_t IncarnationOf(const registered_upstream& registered) {
   const upstream_record& record = registered.record;
   const std::string name = record.id + '@' + std::to_string(record.born);
@@ -33,10 +44,15 @@
   std::erase_if(removed_, [now](const auto& item) {
     return now - item.second.since > kLeavingRetention;
   });
+  std::erase_if(newest_births_, [now](const auto& item) {
+    return now - item.second.seen_at > kLeavingRetention;
+  });
   for (const registered_upstream& each : registered) {
     if (each.record.is_leaving) {
-      leaving_since_.emplace(each.record.id, now);
+      leaving_since_.emplace(KeyOf(each), now);
     }
+    newest_birth& newest = newest_births_[each.record.id];
+    newest = {std::max(newest.born, each.record.born), now};
   }
 }
 
@@ -46,6 +62,14 @@
   RememberLeaving(now, registered);
   std::map<std::string, entry, std::less<>> updated;
   for (const registered_upstream& each : registered) {
+    if (IsOfEarlierBirth(each)) {
+      // The later start writes its registration again.
+      if (const auto held = entries_.find(each.record.id);
+          held != entries_.end()) {
+        updated.insert(*held);
+      }
+      continue;
+    }
     entry fresh{each, {}};
     fresh.registered.record.is_leaving = IsLeaving(each);
     updated.emplace(each.record.id, std::move(fresh));
@@ -60,7 +84,7 @@
     if (now < held.dropped_at && !held.registered.record.is_leaving) {
       updated.emplace(id, std::move(held));
     } else {
-      removed_[id] = {held.registered.created, now};
+      removed_[KeyOf(held.registered)] = {held.registered.created, now};
     }
   }
   entries_ = std::move(updated);
@@ -78,14 +102,22 @@
   return has_expired;
 }
 
+bool upstream_directory::IsOfEarlierBirth(
+    const registered_upstream& registered) const {
+  const auto newest = newest_births_.find(registered.record.id);
+  return newest != newest_births_.end() &&
+         registered.record.born < newest->second.born;
+}
+
 // A registration that was removed and shows again without having been created
 // again comes from a copy of the platform's entries; its backend server left.
 bool upstream_directory::IsLeaving(
     const registered_upstream& registered) const {
-  const auto removed = removed_.find(registered.record.id);
+  const start_key key = KeyOf(registered);
+  const auto removed = removed_.find(key);
   const bool is_restored = removed != removed_.end() &&
                            removed->second.created == registered.created;
-  return is_restored || leaving_since_.contains(registered.record.id);
+  return is_restored || leaving_since_.contains(key);
 }
 
 void upstream_directory::UpdateOwn(time_point now) {
@@ -102,8 +134,7 @@
   }
   const std::uint64_t incarnation = IncarnationOf(own->registered);
   if (own_revision_ == own->registered.revision &&
-      own_incarnation_ == incarnation &&
-      own_cold_stated_at_ != time_point{}) {
+      own_incarnation_ == incarnation && own_cold_stated_at_ != time_point{}) {
     return;
   }
   own_revision_ = own->registered.revision;
@@ -121,10 +152,9 @@
     return;
   }
   last_own_slots_ = own->registered.record.slots;
-  const std::string& id = own->registered.record.id;
   if (!own->registered.record.is_leaving) {
     own_leaving_since_ = time_point{};
-  } else if (const auto told = leaving_since_.find(id);
+  } else if (const auto told = leaving_since_.find(KeyOf(own->registered));
              told != leaving_since_.end()) {
     own_leaving_since_ = told->second;
   } else if (own_leaving_since_ == time_point{}) {
@@ -139,7 +169,7 @@
   return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
     const registered_upstream& other = item.second.registered;
     return other.record.backend_server == its.record.backend_server &&
-           other.created > its.created;
+           IsLaterStart(other, its);
   });
 }
 
@@ -164,6 +194,7 @@
     added.incarnation = IncarnationOf(held.registered);
     added.is_leaving = record.is_leaving;
     added.backend_server_id = id;
+    added.is_evacuated = evacuations_.IsEvacuated(record.failure_domain);
     built->upstreams.push_back(std::move(added));
   }
   std::vector<std::shared_ptr<const service_upstreams>> all;
@@ -183,7 +214,7 @@
     const bool is_own = record.backend_server == settings_.own_backend_server &&
                         record.service == settings_.own_service;
     if (is_own &&
-        (own == nullptr || own->registered.created < held.registered.created)) {
+        (own == nullptr || IsLaterStart(held.registered, own->registered))) {
       own = &held;
     }
   }
@@ -202,12 +233,25 @@
       std::max<std::uint32_t>(1, static_cast<std::uint32_t>(entries_.size()));
   own.limits.queue = own.limits.slots * kQueueLimitPerSlot;
   own.leaving_since = own_leaving_since_;
+  const entry* const registered = OwnEntry();
+  const std::string& domain =
+      registered == nullptr ? settings_.failure_domain
+                            : registered->registered.record.failure_domain;
+  own.evacuated_since = evacuations_.Since(domain);
+  own.evacuation_ended_at = evacuations_.EndedAt(domain);
   own.incarnation = own_incarnation_;
   own.cold_remaining = own_cold_remaining_;
   own.cold_stated_at = own_cold_stated_at_;
   return own;
 }
 
+bool upstream_directory::IsFailureDomainKnown(
+    std::string_view failure_domain) const {
+  return std::any_of(entries_.begin(), entries_.end(), [&](const auto& item) {
+    return item.second.registered.record.failure_domain == failure_domain;
+  });
+}
+
 std::vector<node_location> upstream_directory::ActiveNodes() const {
   std::map<std::string, std::string> found;
   for (const auto& [id, held] : entries_) {
--- a/Libraries/LibCatalog/upstream_directory.h
+++ b/Libraries/LibCatalog/upstream_directory.h
@@ -1,16 +1,19 @@
 #pragma once
 
 #include <chrono>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
 
 #include "LibBase/clock.h"
 #include "LibCatalog/upstream_record.h"
+#include "LibRouting/evacuation_table.h"
 #include "LibRouting/routing_snapshot.h"
 
 namespace wagtailmount {
@@ -19,7 +22,8 @@
 struct registered_upstream {
   upstream_record record;
   /// The revision at which the registration was created: of two registrations
-  /// with one address, the one created later is valid.
+  /// with one address, the one born later is valid, or else the one created
+  /// later.
   std::uint64_t created = 0;
   /// The revision at which it was last written.
   std::uint64_t revision = 0;
@@ -39,6 +43,8 @@
     endpoint own_backend_server;
     std::string own_service;
     std::string region;
+    /// Of this VM while its backend server has no registration.
+    std::string failure_domain;
     /// The port where the node beside an upstream takes requests; the same on
     /// all VMs.
     std::uint16_t hop_port = 0;
@@ -56,6 +62,16 @@
   /// whether there were any.
   bool Expire(time_point now);
 
+  /// Replaces the set of evacuated failure domains; returns what changed.
+  std::vector<evacuation_table::change> SetEvacuated(
+      time_point now, const std::set<std::string>& failure_domains) {
+    return evacuations_.Update(now, failure_domains);
+  }
+  const evacuation_table& Evacuations() const { return evacuations_; }
+
+  /// Whether any registration is of this failure domain.
+  bool IsFailureDomainKnown(std::string_view failure_domain) const;
+
   /// The upstreams of each service, in the order of service names.
   std::vector<std::shared_ptr<const service_upstreams>> Upstreams() const;
 
@@ -76,28 +92,50 @@
     time_point dropped_at{};
   };
 
+  /// One start of a backend server: an id may be used again.
+  struct start_key {
+    std::string id;
+    std::int64_t born = 0;
+
+    auto operator<=>(const start_key&) const = default;
+  };
+  static start_key KeyOf(const registered_upstream& registered) {
+    return {registered.record.id, registered.record.born};
+  }
+
+  /// The latest birth seen under one id, and when.
+  struct newest_birth {
+    std::int64_t born = 0;
+    time_point seen_at{};
+  };
+
   const entry* OwnEntry() const;
   void UpdateOwn(time_point now);
   void UpdateOwnLeaving(time_point now);
   void UpdateOwnColdness(time_point now);
   bool IsSuperseded(const entry& candidate) const;
+  bool IsOfEarlierBirth(const registered_upstream& registered) const;
   bool IsLeaving(const registered_upstream& registered) const;
   void RememberLeaving(time_point now,
                        std::span<const registered_upstream> registered);
 
   settings settings_;
   std::map<std::string, entry, std::less<>> entries_;  ///< By record id.
-  /// When each backend server was first seen leaving, by record id: a delayed
+  evacuation_table evacuations_;
+  /// By record id. A start under an id makes the earlier ones invalid, however
+  /// late their last writes come.
+  std::map<std::string, newest_birth, std::less<>> newest_births_;
+  /// When each start of a backend server was first seen leaving: a delayed
   /// write of an earlier state must not make it available again.
-  std::map<std::string, time_point, std::less<>> leaving_since_;
+  std::map<start_key, time_point> leaving_since_;
   /// A registration that was removed.
   struct removed_registration {
     std::uint64_t created = 0;
     time_point since{};
   };
-  /// The registrations removed lately, by record id: a platform that was
-  /// restored from a copy shows them again.
-  std::map<std::string, removed_registration, std::less<>> removed_;
+  /// The registrations removed lately: a platform that was restored from a copy
+  /// shows them again.
+  std::map<start_key, removed_registration> removed_;
   std::uint32_t last_own_slots_ = 0;
   /// Since when the backend server on this VM has been leaving or has had no
   /// registration; zero while it is available.
--- a/Libraries/LibLoad/admission_controller.cc
+++ b/Libraries/LibLoad/admission_controller.cc
@@ -220,6 +220,18 @@
   return now + rate_.TimeUntil(now, 1);
 }
 
+std::vector<admission_effect> admission_controller::RefuseQueued(
+    refusal_cause cause) {
+  std::vector<admission_effect> effects;
+  for (const auto& [key, queue] : waiting_) {
+    for (const waiting_request& each : queue) {
+      effects.push_back({each.id, cause});
+    }
+  }
+  waiting_.clear();
+  return effects;
+}
+
 bool admission_controller::Withdraw(admission_id id) {
   std::size_t count = 0;
   for (auto& [key, queue] : waiting_) {
--- a/Libraries/LibLoad/admission_controller.h
+++ b/Libraries/LibLoad/admission_controller.h
@@ -120,6 +120,9 @@
   /// if it waits for a slot, or nothing is queued.
   std::optional<time_point> NextStart(time_point now) const;
 
+  /// Refuses all that is queued, for `cause`.
+  std::vector<admission_effect> RefuseQueued(refusal_cause cause);
+
   /// Removes a queued request. Returns false if it is not queued any more
   /// because it was started or refused.
   bool Withdraw(admission_id id);
--- a/Libraries/LibLoad/start_check.cc
+++ b/Libraries/LibLoad/start_check.cc
@@ -22,6 +22,10 @@
   if (now >= conditions.deadline) {
     return refusal_cause::kTooLate;
   }
+  // Unlike one that leaves, an evacuated backend server takes nothing more.
+  if (conditions.is_evacuated) {
+    return refusal_cause::kEvacuated;
+  }
   const bool is_leaving = conditions.leaving_since != time_point{};
   if (is_leaving && now - conditions.leaving_since > kLeavingGracePeriod) {
     return refusal_cause::kDraining;
--- a/Libraries/LibLoad/start_check.h
+++ b/Libraries/LibLoad/start_check.h
@@ -13,6 +13,8 @@
   /// When the owner learned that its backend server is leaving; zero if it is
   /// not.
   time_point leaving_since{};
+  /// The failure domain of the backend server is evacuated.
+  bool is_evacuated = false;
 };
 
 /// Returns why a request must not start at the backend server, or kNone. To be
--- a/Libraries/LibLoad/statement_memory.cc
+++ b/Libraries/LibLoad/statement_memory.cc
@@ -11,10 +11,33 @@
 
 }  // namespace
 
+void statement_memory::SetStart(time_point now, std::string_view id,
+                                std::uint64_t incarnation) {
+  const auto found = starts_.find(id);
+  if (found == starts_.end()) {
+    starts_.emplace(std::string{id}, start{incarnation, time_point{}, now});
+    return;
+  }
+  start& known = found->second;
+  known.seen_at = now;
+  if (known.incarnation == incarnation) {
+    return;
+  }
+  known.incarnation = incarnation;
+  known.since = now;
+  if (const auto stated = records_.find(id); stated != records_.end()) {
+    records_.erase(stated);
+  }
+}
+
 statement_memory::change statement_memory::Record(
     time_point now, time_point asked_at, std::string_view id,
     const backend_statement& statement) {
   Forget(now);
+  if (const auto current = starts_.find(id);
+      current != starts_.end() && asked_at < current->second.since) {
+    return {};
+  }
   const bool states_nothing = !statement.rate_limit && !statement.is_leaving &&
                               !statement.is_rate_limit_malformed;
   auto found = records_.find(id);
@@ -62,6 +85,9 @@
   std::erase_if(records_, [now](const auto& each) {
     return now - each.second.recorded_at > kLifetime;
   });
+  std::erase_if(starts_, [now](const auto& each) {
+    return now - each.second.seen_at > kLifetime;
+  });
 }
 
 }  // namespace wagtailmount
--- a/Libraries/LibLoad/statement_memory.h
+++ b/Libraries/LibLoad/statement_memory.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -30,6 +31,11 @@
     bool has_begun_to_leave = false;
   };
 
+  /// States that the start with this `incarnation` is the one behind `id` from
+  /// `now` on. What an earlier start under the same id stated is forgotten, and
+  /// answers to requests that were sent before `now` do not count any more.
+  void SetStart(time_point now, std::string_view id, std::uint64_t incarnation);
+
   /// Records the statement in an answer read at `now` to a request that was
   /// sent at `asked_at`. Answers cross each other: one that names no limit
   /// lifts it only if it was asked for after the limit was last named.
@@ -44,7 +50,14 @@
  private:
   void Forget(time_point now);
 
+  struct start {
+    std::uint64_t incarnation = 0;
+    time_point since{};  ///< Zero for the first start known under its id.
+    time_point seen_at{};
+  };
+
   std::map<std::string, record, std::less<>> records_;
+  std::map<std::string, start, std::less<>> starts_;  ///< By id.
   time_point next_cleanup_{};
 };
 
--- a/Libraries/LibLoad/trial_upstream.cc
+++ b/Libraries/LibLoad/trial_upstream.cc
@@ -11,7 +11,8 @@
   std::uint64_t least = 0;
   for (const upstream& each : upstreams) {
     const std::uint64_t rank = HashOf(name + each.vm);
-    if (!each.is_leaving && (chosen == nullptr || rank < least)) {
+    if (!each.is_leaving && !each.is_evacuated &&
+        (chosen == nullptr || rank < least)) {
       chosen = &each;
       least = rank;
     }
--- a/Libraries/LibNode/catalog_admin.cc
+++ b/Libraries/LibNode/catalog_admin.cc
@@ -22,6 +22,7 @@
           {"era", control.Era()},
           {"source_age_ms", age ? age->count() : -1},
           {"is_reader", control.IsReader()},
+          {"evacuated_failure_domains", control.Evacuations().Names()},
           {"peers", control.PeerCount()},
           {"platform_calls", control.PlatformCalls()},
           {"platform_failures", control.PlatformFailures()}};
--- a/Libraries/LibNode/catalog_control.h
+++ b/Libraries/LibNode/catalog_control.h
@@ -22,6 +22,7 @@
 #include "LibNode/crash_report_relay.h"
 #include "LibNode/peer_links.h"
 #include "LibNode/settings.h"
+#include "LibRouting/evacuation_table.h"
 #include "LibRouting/routing_snapshot.h"
 
 namespace wagtailmount {
@@ -76,6 +77,10 @@
   }
   /// The era of CompleteTo().
   std::uint64_t Era() const { return catalog_.Position().era; }
+  /// The failure domains that are evacuated.
+  const evacuation_table& Evacuations() const {
+    return directory_.Evacuations();
+  }
   std::uint64_t PlatformCalls() const { return platform_calls_; }
   std::uint64_t PlatformFailures() const { return platform_failures_; }
   /// Whether this node reads the platform for its failure domain.
@@ -122,6 +127,8 @@
   void ApplyConfiguration();
   void LogWarnings();
   void ApplyUpstreams();
+  bool IsEvacuation(std::string_view key) const;
+  void ApplyEvacuations();
   void PublishIfChanged();
   void UpdateFreshness(time_point now);
   void UpdateServing(time_point now);
--- a/Libraries/LibNode/metrics_text.cc
+++ b/Libraries/LibNode/metrics_text.cc
@@ -12,7 +12,7 @@
   std::uint64_t traffic_counters::*value;
 };
 
-constexpr std::array<named_counter, 17> kTrafficCounters{{
+constexpr std::array<named_counter, 18> kTrafficCounters{{
     {"requests_total", &traffic_counters::requests},
     {"answered_ran_total", &traffic_counters::answered_ran},
     {"answered_may_have_run_total", &traffic_counters::answered_may_have_run},
@@ -24,6 +24,8 @@
     {"owner_admitted_total", &traffic_counters::owner_admitted},
     {"owner_admitted_limited_total", &traffic_counters::owner_admitted_limited},
     {"owner_refused_total", &traffic_counters::owner_refused},
+    {"owner_refused_evacuated_total",
+     &traffic_counters::owner_refused_evacuated},
     {"late_answers_dropped_total", &traffic_counters::late_answers_dropped},
     {"backend_crashes_total", &traffic_counters::backend_crashes},
     {"refused_quarantined_total", &traffic_counters::refused_quarantined},
@@ -90,6 +92,8 @@
           in_force == nullptr ? 0 : number(in_force->Version().revision));
   AddLine(text, "catalog_complete_to", "", number(control.CompleteTo()));
   AddLine(text, "catalog_era", "", number(control.Era()));
+  AddLine(text, "evacuated_failure_domains", "",
+          number(control.Evacuations().Names().size()));
   AddLine(text, "catalog_age_ms", "", age ? age->count() : -1);
   AddLine(text, "is_reader", "", control.IsReader() ? 1 : 0);
   AddLine(text, "peers", "", number(control.PeerCount()));
--- a/Libraries/LibNode/traffic_report.cc
+++ b/Libraries/LibNode/traffic_report.cc
@@ -39,6 +39,7 @@
           {"owner_admitted", counters.owner_admitted},
           {"owner_admitted_limited", counters.owner_admitted_limited},
           {"owner_refused", counters.owner_refused},
+          {"owner_refused_evacuated", counters.owner_refused_evacuated},
           {"late_answers_dropped", counters.late_answers_dropped},
           {"backend_crashes", counters.backend_crashes},
           {"refused_quarantined", counters.refused_quarantined},
--- a/Libraries/LibRouting/upstream_choice.cc
+++ b/Libraries/LibRouting/upstream_choice.cc
@@ -194,8 +194,11 @@
   const auto is_same = [](const observations& seen, const upstream& known) {
     return seen.incarnation == known.incarnation && seen.vm == known.vm;
   };
+  const auto is_current = [&](const observations& seen, const upstream& known) {
+    return is_same(seen, known) && seen.is_evacuated == known.is_evacuated;
+  };
   if (std::equal(seen_.begin(), seen_.end(), upstreams.begin(), upstreams.end(),
-                 is_same)) {
+                 is_current)) {
     return;
   }
   std::vector<observations> aligned;
@@ -204,11 +207,19 @@
     observations* const before = Find(known.vm);
     if (before != nullptr && is_same(*before, known)) {
       aligned.push_back(std::move(*before));
+      observations& kept = aligned.back();
+      if (kept.is_evacuated && !known.is_evacuated) {
+        // It may have lost what it had cached, and all of its failure domain
+        // come back at once.
+        kept.warming_since = now;
+      }
+      kept.is_evacuated = known.is_evacuated;
       continue;
     }
     observations fresh;
     fresh.vm = known.vm;
     fresh.incarnation = known.incarnation;
+    fresh.is_evacuated = known.is_evacuated;
     fresh.warming_since = now;
     fresh.domain_index = FindOrAddDomain(known.failure_domain);
     aligned.push_back(std::move(fresh));
@@ -237,6 +248,9 @@
 upstream_chooser::availability upstream_chooser::AvailabilityOf(
     time_point now, const upstream& candidate, const observations& seen) {
   const bool is_ejected = seen.ejected_until > now;
+  if (candidate.is_evacuated) {
+    return availability::kUnusable;
+  }
   if (seen.is_unreachable && (is_ejected || seen.outstanding > 0)) {
     return availability::kUnusable;
   }
@@ -414,9 +428,13 @@
 
 bool upstream_chooser::MayEject(time_point now) const {
   const auto ejected = static_cast<std::size_t>(std::count_if(
+      seen_.begin(), seen_.end(), [now](const observations& seen) {
+        return !seen.is_evacuated && seen.ejected_until > now;
+      }));
+  const auto usable = static_cast<std::size_t>(std::count_if(
       seen_.begin(), seen_.end(),
-      [now](const observations& seen) { return seen.ejected_until > now; }));
-  return (ejected + 1) * kEjectionFloorDivisor <= seen_.size();
+      [](const observations& seen) { return !seen.is_evacuated; }));
+  return (ejected + 1) * kEjectionFloorDivisor <= usable;
 }
 
 void upstream_chooser::Eject(time_point now, observations& seen) {
--- a/Libraries/LibRouting/upstream_choice.h
+++ b/Libraries/LibRouting/upstream_choice.h
@@ -80,10 +80,10 @@
 
   explicit upstream_chooser(locality own) : own_locality_(std::move(own)) {}
 
-  /// Returns the upstream for the next attempt, or none if all are leaving,
-  /// were tried already, could not be connected to a moment ago or are expected
-  /// to refuse. A new upstream reaches its full share of requests after
-  /// `slow_start`.
+  /// Returns the upstream for the next attempt, or none if all are leaving or
+  /// evacuated, were tried already, could not be connected to a moment ago or
+  /// are expected to refuse. A new upstream reaches its full share of requests
+  /// after `slow_start`.
   ///
   /// Handles these load patterns:
   /// - many unreachable upstreams under a load that fills the others: an
@@ -152,6 +152,7 @@
   struct observations {
     std::string vm;
     std::uint64_t incarnation = 0;
+    bool is_evacuated = false;
     time_point warming_since{};
     std::uint32_t outstanding = 0;
     duration latency{};  ///< Smoothed; zero when unknown.
--- a/Libraries/LibTraffic/backend_gate.cc
+++ b/Libraries/LibTraffic/backend_gate.cc
@@ -30,6 +30,11 @@
   }
 }
 
+void backend_gate::RefuseQueued(refusal_cause cause) {
+  const std::lock_guard lock{mutex_};
+  ApplyEffects(admission_.RefuseQueued(cause));
+}
+
 idle_connection_permit backend_gate::TryAcquireIdlePermit() {
   if (++idle_connections_ <= maximum_idle_connections_) {
     return idle_connection_permit{idle_connections_};
--- a/Libraries/LibTraffic/backend_gate.h
+++ b/Libraries/LibTraffic/backend_gate.h
@@ -72,6 +72,9 @@
   /// Applies the rate limit that the backend server names; none lifts it.
   void SetRateLimit(std::optional<double> requests_a_second);
 
+  /// Refuses all requests that wait for a slot, for `cause`.
+  void RefuseQueued(refusal_cause cause);
+
   /// Waits for a slot, for at most as long as the admission policy allows.
   task<slot_result> AcquireSlot(arriving_request arriving);
 
--- a/Libraries/LibTraffic/backend_statements.cc
+++ b/Libraries/LibTraffic/backend_statements.cc
@@ -60,6 +60,17 @@
   current_ = id;
 }
 
+void backend_statements::SetStarts(std::span<const upstream> upstreams) {
+  const std::lock_guard lock{mutex_};
+  const time_point now = clock_.Now();
+  for (const upstream& each : upstreams) {
+    if (!each.backend_server_id.empty()) {
+      memory_.SetStart(now, each.backend_server_id, each.incarnation);
+    }
+  }
+  is_empty_ = memory_.IsEmpty();
+}
+
 bool backend_statements::IsCurrent(std::string_view id) const {
   const std::lock_guard lock{mutex_};
   return current_.empty() || current_ == id;
--- a/Libraries/LibTraffic/backend_statements.h
+++ b/Libraries/LibTraffic/backend_statements.h
@@ -4,11 +4,13 @@
 #include <cstdint>
 #include <mutex>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
 #include "LibLoad/statement_memory.h"
 #include "LibLog/structured_log.h"
+#include "LibRouting/routing_snapshot.h"
 #include "LibTraffic/http_types.h"
 #include "LibTraffic/request_fields.h"
 
@@ -43,6 +45,10 @@
   /// empty if that is not known.
   void SetCurrent(std::string_view id);
 
+  /// States which starts are behind the ids of these upstreams; see
+  /// statement_memory::SetStart().
+  void SetStarts(std::span<const upstream> upstreams);
+
   /// Whether `id` is the start that is in use now, as far as that is known.
   /// Only its rate limit binds this VM's backend server.
   bool IsCurrent(std::string_view id) const;
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -30,6 +30,7 @@
     case refusal_cause::kOverloaded:
     case refusal_cause::kShed:
     case refusal_cause::kDraining:
+    case refusal_cause::kEvacuated:
     case refusal_cause::kTooLate:
       return attempt_signal::kOwnerRefused;
     case refusal_cause::kAbandoned:
@@ -89,7 +90,8 @@
     }
     service_state_.budget.Earn(incoming_.chosen_route.retry->budget_share);
     entry_result result;
-    result.cause = refusal_cause::kNoUpstream;
+    result.cause = AreAllEvacuated() ? refusal_cause::kEvacuated
+                                     : refusal_cause::kNoUpstream;
     while (const auto choice = NextChoice(result)) {
       result.upstream = choice->chosen->vm;
       result.why = choice->why;
@@ -116,6 +118,22 @@
     }
   }
 
+  // An owner knows of an evacuation that the snapshot doesn't show yet.
+  void ExcludeFailureDomain(const std::string& failure_domain) {
+    for (const upstream& candidate : upstreams_) {
+      if (candidate.failure_domain == failure_domain) {
+        tried_.push_back(&candidate);
+      }
+    }
+  }
+
+  // Whether requests could be sent only where nothing may start.
+  bool AreAllEvacuated() const {
+    return !upstreams_.empty() &&
+           std::all_of(upstreams_.begin(), upstreams_.end(),
+                       [](const upstream& each) { return each.is_evacuated; });
+  }
+
   // The upstream for the next attempt; nothing when there is to be no other.
   std::optional<upstream_choice> NextChoice(entry_result& result) {
     const time_point now = state_.clock.Now();
@@ -252,6 +270,9 @@
     const time_point end = state_.clock.Now();
     service_state_.chooser.End(end, chosen.vm, SignOf(ended), end - begin);
     RecordStatement(chosen, ended, begin);
+    if (ended.cause == refusal_cause::kEvacuated) {
+      ExcludeFailureDomain(chosen.failure_domain);
+    }
     if (ended.load) {
       service_state_.chooser.RecordReportedLoad(
           end, chosen.vm,
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -162,13 +162,20 @@
   return std::min(published, stated);
 }
 
+bool IsEvacuated(const traffic_state& state) {
+  const auto snapshot = state.snapshot.load();
+  return snapshot != nullptr && snapshot->Own() &&
+         snapshot->Own()->evacuated_since != time_point{};
+}
+
 refusal_cause CauseNotToStartNow(const traffic_state& state,
                                  const owner_request& incoming) {
   return CauseNotToStart(
       state.clock.Now(),
       {.deadline = incoming.deadline,
        .has_requester_left = incoming.watch.HasClientDisconnected(),
-       .leaving_since = LeavingSince(state, incoming)});
+       .leaving_since = LeavingSince(state, incoming),
+       .is_evacuated = IsEvacuated(state)});
 }
 
 }  // namespace
@@ -181,6 +188,8 @@
   slot_result acquired;
   if (quarantine.IsRefused()) {
     acquired.refused = refusal_cause::kQuarantined;
+  } else if (IsEvacuated(state)) {
+    acquired.refused = refusal_cause::kEvacuated;
   } else {
     acquired = co_await state.gate.AcquireSlot(
         {incoming.deadline, incoming.priority, incoming.objective});
@@ -207,6 +216,9 @@
       worker.KeepBackendConnection(std::move(connection));
     }
     ++state.counters.owner_refused;
+    if (acquired.refused == refusal_cause::kEvacuated) {
+      ++state.counters.owner_refused_evacuated;
+    }
     LogRefusal(state, incoming, acquired.refused);
     attempt_result refused = MakeRefusal(acquired.refused);
     refused.is_backend_leaving =
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -112,8 +112,16 @@
                    state_.settings.service)) {
       state_.gate.SetLimits(declared->limits);
     }
+    for (const auto& each : snapshot->Configuration().Services()) {
+      state_.statements.SetStarts(snapshot->UpstreamsOf(each->name));
+    }
     const std::string_view current = CurrentBackendServer(*snapshot);
-    if (!current.empty() && !state_.statements.IsCurrent(current)) {
+    const std::uint64_t incarnation =
+        snapshot->Own() ? snapshot->Own()->incarnation : 0;
+    const bool is_new_start =
+        std::exchange(own_incarnation_, incarnation) != incarnation;
+    if (!current.empty() &&
+        (is_new_start || !state_.statements.IsCurrent(current))) {
       state_.gate.SetRateLimit(state_.statements.RateLimitOf(current));
     }
     state_.statements.SetCurrent(current);
@@ -121,7 +129,12 @@
     state_.idle_timeout =
         has_snapshot_ ? std::max(state_.idle_timeout.load(), idle) : idle;
     has_snapshot_ = true;
+    const bool is_evacuated =
+        snapshot->Own() && snapshot->Own()->evacuated_since != time_point{};
     state_.snapshot.store(std::move(snapshot));
+    if (is_evacuated) {
+      state_.gate.RefuseQueued(refusal_cause::kEvacuated);
+    }
   }
 
   void BeginStop(time_point answer_by) override {
@@ -242,7 +255,9 @@
   std::optional<tcp::acceptor> caller_acceptor_;
   std::optional<tcp::acceptor> hop_acceptor_;
   std::size_t next_worker_ = 0;
-  bool has_snapshot_ = false;  ///< Used by the control thread only.
+  // Used by the control thread only.
+  bool has_snapshot_ = false;
+  std::uint64_t own_incarnation_ = 0;
 };
 
 }  // namespace
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -56,6 +56,8 @@
   /// Those of them started while the backend server named a rate limit.
   std::uint64_t owner_admitted_limited = 0;
   std::uint64_t owner_refused = 0;  ///< Refused: draining, full or too late.
+  /// Of these: refused since the failure domain is evacuated.
+  std::uint64_t owner_refused_evacuated = 0;
   std::uint64_t late_answers_dropped = 0;
   /// Requests that ran at this VM's backend server when it crashed.
   std::uint64_t backend_crashes = 0;
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -17,6 +17,7 @@
   counts.owner_admitted = owner_admitted;
   counts.owner_admitted_limited = owner_admitted_limited;
   counts.owner_refused = owner_refused;
+  counts.owner_refused_evacuated = owner_refused_evacuated;
   counts.late_answers_dropped = late_answers_dropped;
   counts.backend_crashes = backend_crashes;
   counts.refused_quarantined = refused_quarantined;
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -34,6 +34,7 @@
   std::atomic<std::uint64_t> owner_admitted{0};
   std::atomic<std::uint64_t> owner_admitted_limited{0};
   std::atomic<std::uint64_t> owner_refused{0};
+  std::atomic<std::uint64_t> owner_refused_evacuated{0};
   std::atomic<std::uint64_t> late_answers_dropped{0};
   std::atomic<std::uint64_t> backend_crashes{0};
   std::atomic<std::uint64_t> refused_quarantined{0};
--- a/Tests/LibCatalog/test_upstream_directory.cc
+++ b/Tests/LibCatalog/test_upstream_directory.cc
@@ -19,6 +19,11 @@
   return made;
 }
 
+registered_upstream Born(registered_upstream from, std::int64_t born) {
+  from.record.born = born;
+  return from;
+}
+
 registered_upstream Leaving(registered_upstream from) {
   from.record.is_leaving = true;
   return from;
@@ -39,6 +44,7 @@
   upstream_directory directory{{.own_backend_server = {"10.0.0.1", 9000},
                                 .own_service = "ledger",
                                 .region = "pk",
+                                .failure_domain = "hall",
                                 .hop_port = 7000}};
 };
 
@@ -103,8 +109,7 @@
 // A backend server may state the same remaining time again, and it counts from
 // the later statement.
 BOOST_AUTO_TEST_CASE(ColdnessCountsFromTheLastWritingOfTheOwnRegistration) {
-  BOOST_TEST(
-      (directory.OwnBackendServer({}).cold_stated_at == time_point{}));
+  BOOST_TEST((directory.OwnBackendServer({}).cold_stated_at == time_point{}));
   auto own = Registered("i-1", "10.0.0.1");
   own.record.cold_remaining = milliseconds{4'000};
   own.revision = 7;
@@ -116,8 +121,8 @@
   own.revision = 8;
   Update({own});
   BOOST_TEST((directory.OwnBackendServer({}).cold_stated_at == clock.Now()));
-  BOOST_TEST((directory.OwnBackendServer({}).cold_remaining ==
-              milliseconds{4'000}));
+  BOOST_TEST(
+      (directory.OwnBackendServer({}).cold_remaining == milliseconds{4'000}));
   Update({});
   BOOST_TEST((directory.OwnBackendServer({}).cold_stated_at == clock.Now()));
 }
@@ -233,4 +238,71 @@
   BOOST_TEST(Ledger()[0].is_leaving);
 }
 
+// A backend server left and started again under its id.
+BOOST_AUTO_TEST_CASE(ANewStartUnderAnIdThatLeftIsNotLeaving) {
+  Update({Born(Registered("i-1", "10.0.0.1"), 1'000)});
+  Update({Leaving(Born(Registered("i-1", "10.0.0.1"), 1'000))});
+  BOOST_TEST(Ledger()[0].is_leaving);
+  Update({Born(Registered("i-1", "10.0.0.1"), 2'000)});
+  BOOST_REQUIRE(Ledger().size() == 1U);
+  BOOST_TEST(!Ledger()[0].is_leaving);
+  BOOST_TEST((directory.OwnBackendServer({}).leaving_since == time_point{}));
+}
+
+// The new start's entry may have been created in the same write as that of a
+// removed start, in a platform that counts anew.
+BOOST_AUTO_TEST_CASE(ANewStartUnderARemovedIdIsUsed) {
+  Update({Born(Registered("i-1", "10.0.0.1", 9), 1'000)});
+  Update({});
+  Update({Born(Registered("i-1", "10.0.0.1", 9), 2'000)});
+  BOOST_REQUIRE(Ledger().size() == 1U);
+  BOOST_TEST(!Ledger()[0].is_leaving);
+}
+
+BOOST_AUTO_TEST_CASE(ALaterBirthWinsOverALaterCreation) {
+  Update({Born(Registered("i-1", "10.0.0.2", 9), 1'000),
+          Born(Registered("i-2", "10.0.0.2", 3), 2'000)});
+  BOOST_REQUIRE(Ledger().size() == 1U);
+  BOOST_TEST(Ledger()[0].backend_server_id == "i-2");
+}
+
+// The last beat of the earlier start is stored after the first one of the later
+// start, or shows again in a restored platform.
+BOOST_AUTO_TEST_CASE(ALateBeatOfAnEarlierBirthBringsNothingBack) {
+  Update({Born(Registered("i-1", "10.0.0.1"), 1'000)});
+  Update({Born(Registered("i-1", "10.0.0.1"), 2'000)});
+  const std::uint64_t later = Ledger()[0].incarnation;
+  Update({Leaving(Born(Registered("i-1", "10.0.0.1", 8), 1'000))});
+  BOOST_REQUIRE(Ledger().size() == 1U);
+  BOOST_TEST(Ledger()[0].incarnation == later);
+  BOOST_TEST(!Ledger()[0].is_leaving);
+  BOOST_TEST(directory.OwnBackendServer({}).incarnation == later);
+  Update({});
+  Update({Born(Registered("i-1", "10.0.0.1", 12), 1'000)});
+  BOOST_TEST(Ledger().empty());
+}
+
+BOOST_AUTO_TEST_CASE(AnEvacuationMarksTheUpstreamsOfItsFailureDomainOnly) {
+  auto elsewhere = Registered("i-2", "10.0.0.2");
+  elsewhere.record.failure_domain = "yard";
+  Update({Registered("i-1", "10.0.0.1"), elsewhere});
+  const time_point since = clock.Now();
+  directory.SetEvacuated(since, {"hall", "no-such-domain"});
+  BOOST_TEST(Ledger()[0].is_evacuated);
+  BOOST_TEST(!Ledger()[1].is_evacuated);
+  BOOST_TEST((directory.OwnBackendServer({}).evacuated_since == since));
+  BOOST_TEST(!directory.IsFailureDomainKnown("no-such-domain"));
+  // Also while the own registration is missing, and for one that comes later.
+  Update({elsewhere});
+  BOOST_TEST((directory.OwnBackendServer({}).evacuated_since == since));
+  clock.Advance(milliseconds{100});
+  directory.SetEvacuated(clock.Now(), {"yard"});
+  Update({Registered("i-3", "10.0.0.1"), elsewhere});
+  const own_backend_server own = directory.OwnBackendServer({});
+  BOOST_TEST((own.evacuated_since == time_point{}));
+  BOOST_TEST((own.evacuation_ended_at == clock.Now()));
+  BOOST_TEST(Ledger()[0].is_evacuated);
+  BOOST_TEST(!Ledger()[1].is_evacuated);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibLoad/test_admission.cc
+++ b/Tests/LibLoad/test_admission.cc
@@ -130,4 +130,22 @@
   BOOST_TEST((Arrive().decided == kind::kQueued));
 }
 
+// The failure domain is evacuated: what waits can still be served elsewhere,
+// and what runs goes on.
+BOOST_AUTO_TEST_CASE(AnEvacuationRefusesAllThatIsQueuedAndNothingElse) {
+  const auto running = Arrive();
+  Arrive();
+  const auto first = Arrive();
+  const auto second = Arrive(kBackground);
+  const auto effects = controller.RefuseQueued(refusal_cause::kEvacuated);
+  const std::vector<admission_effect> expected{
+      {first.id, refusal_cause::kEvacuated},
+      {second.id, refusal_cause::kEvacuated}};
+  BOOST_TEST((effects == expected));
+  BOOST_TEST(controller.Queued() == 0U);
+  BOOST_TEST(controller.Running() == 2U);
+  BOOST_TEST(controller.Finish(clock.Now(), running.id).empty());
+  BOOST_TEST(controller.RefuseQueued(refusal_cause::kEvacuated).empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibLoad/test_backend_statement.cc
+++ b/Tests/LibLoad/test_backend_statement.cc
@@ -115,4 +115,25 @@
   BOOST_TEST((RateLimit("second") == 22.8));
 }
 
+// A backend server that started again under its id has stated nothing yet.
+BOOST_AUTO_TEST_CASE(ANewStartUnderAnIdInheritsNoStatement) {
+  memory.SetStart(clock.Now(), "first", 1);
+  Record(limited);
+  Record({.rate_limit = std::nullopt, .is_leaving = true});
+  memory.SetStart(clock.Now(), "first", 1);
+  BOOST_TEST((RateLimit() == 22.8));
+  memory.SetStart(clock.Now(), "first", 2);
+  BOOST_TEST(memory.Find("first") == nullptr);
+}
+
+// An answer of the earlier start is read after the later one is known.
+BOOST_AUTO_TEST_CASE(ALateAnswerOfTheEarlierStartIsNotTakenForTheLaterOne) {
+  memory.SetStart(clock.Now(), "first", 1);
+  memory.SetStart(clock.Now(), "first", 2);
+  Record({.rate_limit = 5.0, .is_leaving = true}, milliseconds{200});
+  BOOST_TEST(memory.Find("first") == nullptr);
+  Record(limited);
+  BOOST_TEST((RateLimit() == 22.8));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibLoad/test_start_check.cc
+++ b/Tests/LibLoad/test_start_check.cc
@@ -18,6 +18,7 @@
     bool has_requester_left;
     std::optional<milliseconds> leaving_for;
     refusal_cause expected;
+    bool is_evacuated = false;
   };
   const start_case table[] = {
       {"in time", milliseconds{1}, false, std::nullopt, refusal_cause::kNone},
@@ -35,6 +36,10 @@
        refusal_cause::kDraining},
       {"left long ago", milliseconds{9'000}, false, milliseconds{6'000},
        refusal_cause::kDraining},
+      {"evacuated just now", milliseconds{500}, false, std::nullopt,
+       refusal_cause::kEvacuated, true},
+      {"evacuated and in the grace period of leaving", milliseconds{500}, false,
+       milliseconds{0}, refusal_cause::kEvacuated, true},
   };
   const manual_clock clock;
   const time_point now = clock.Now();
@@ -44,7 +49,8 @@
     BOOST_TEST((CauseNotToStart(
                     now, {.deadline = now + each.deadline_in,
                           .has_requester_left = each.has_requester_left,
-                          .leaving_since = leaving_since}) == each.expected),
+                          .leaving_since = leaving_since,
+                          .is_evacuated = each.is_evacuated}) == each.expected),
                each.name);
   }
 }
--- a/Tests/LibNode/test_catalog_control.cc
+++ b/Tests/LibNode/test_catalog_control.cc
@@ -2,151 +2,13 @@
 // from an earlier copy.
 
 #include <boost/test/unit_test.hpp>
-#include <functional>
-#include <string>
-#include <vector>
 
-#include "LibLink/message_codec.h"
-#include "LibNode/catalog_control.h"
+#include "Tests/LibNode/catalog_control_parts.h"
 
 namespace wagtailmount {
 
 namespace {
 
-using namespace std::chrono_literals;
-
-// Holds the calls of the node until the test answers them.
-class held_source final : public catalog_source {
- public:
-  void List(std::string_view, bool, answer<catalog_page> done) override {
-    listing = std::move(done);
-  }
-  void Watch(std::uint64_t revision, std::chrono::milliseconds,
-             answer<catalog_changes> done) override {
-    watched_after = revision;
-    watch = std::move(done);
-  }
-
-  answer<catalog_page> listing;
-  answer<catalog_changes> watch;
-  std::uint64_t watched_after = 0;
-};
-
-class idle_hub final : public link_hub {
- public:
-  link_id Open(const endpoint&) override { return ++last_link; }
-  void Close(link_id) override {}
-  bool Send(link_id, std::string_view frame) override {
-    sent.push_back(*DecodeMessage(frame));
-    return true;
-  }
-  link_counters Counters() const override { return {}; }
-  endpoint Listening() const override { return {"127.0.0.1", 7003}; }
-  void Stop() override {}
-
-  template <typename T>
-  const T* LastSent() const {
-    for (auto each = sent.rbegin(); each != sent.rend(); ++each) {
-      if (const T* found = std::get_if<T>(&*each)) {
-        return found;
-      }
-    }
-    return nullptr;
-  }
-
-  link_id last_link = 0;
-  std::vector<message> sent;
-};
-
-// Contents of the test's entries: a configuration's version number, and
-// "ADDRESS ready" or "ADDRESS draining" of an upstream.
-result<std::shared_ptr<const configuration>> ReadVersion(
-    const catalog_item& item) {
-  configuration::contents parts;
-  parts.version.revision = std::stoull(*item.content);
-  return std::make_shared<const configuration>(std::move(parts));
-}
-
-result<upstream_record> ReadState(const catalog_item& item) {
-  const auto space = item.content->find(' ');
-  upstream_record record;
-  record.id = item.key.substr(2);
-  record.service = "ledger";
-  record.failure_domain = "hall";
-  record.backend_server = {item.content->substr(0, space), 9000};
-  record.slots = 4;
-  record.is_leaving = item.content->substr(space + 1) == "draining";
-  return record;
-}
-
-catalog_item Entry(std::string key, std::uint64_t revision, std::string content,
-                   std::uint64_t created = 1) {
-  return {std::move(key),
-          revision,
-          created,
-          false,
-          std::make_shared<const std::string>(std::move(content)),
-          0};
-}
-
-node_settings Settings() {
-  node_settings settings;
-  settings.vm = "10.0.0.1";
-  settings.failure_domain = "hall";
-  settings.region = "pk";
-  settings.service = "ledger";
-  settings.backend_server = {"10.0.0.1", 9000};
-  return settings;
-}
-
-// A node, and what it calls.
-struct control_parts {
-  void Step(duration span) {
-    clock.Advance(span);
-    control.Tick();
-  }
-
-  void AnswerListing(const catalog_page& page) {
-    BOOST_REQUIRE(source.listing != nullptr);
-    std::exchange(source.listing, nullptr)(page);
-  }
-
-  // Ends the watch as the platform does that no longer has its revision, and
-  // waits for the listing that follows.
-  void EndWatchWith(result<catalog_changes> answer) {
-    BOOST_REQUIRE(source.watch != nullptr);
-    std::exchange(source.watch, nullptr)(std::move(answer));
-    for (int tick = 0; tick < 20 && source.listing == nullptr; ++tick) {
-      Step(100ms);
-    }
-  }
-
-  std::string Available() const {
-    std::string names;
-    for (const upstream& each : published->UpstreamsOf("ledger")) {
-      names += each.is_leaving ? "" : each.backend_server_id + " ";
-    }
-    return names;
-  }
-
-  manual_clock clock;
-  node_settings settings = Settings();
-  held_source source;
-  catalog_format format{"op", "s/", "e/", ReadVersion, ReadState};
-  structured_log log{{}, clock};
-  idle_hub hub;
-  std::shared_ptr<const routing_snapshot> published;
-  catalog_control control{settings,
-                          clock,
-                          source,
-                          format,
-                          log,
-                          [this](std::shared_ptr<const routing_snapshot> made) {
-                            published = std::move(made);
-                          },
-                          1};
-};
-
 // A node that has listed era 4 up to revision 20: configuration 7, its own
 // upstream i-1, i-2 and i-3, of which i-3 is leaving.
 struct control_fixture : control_parts {
@@ -308,8 +170,7 @@
 BOOST_AUTO_TEST_CASE(AnOwnEntryWrittenAgainIsANewStatement) {
   const time_point before = published->Own()->cold_stated_at;
   BOOST_TEST((before != time_point{}));
-  EndWatchWith(
-      catalog_changes{21, {Entry("s/i-1", 21, "10.0.0.1 ready")}, 4});
+  EndWatchWith(catalog_changes{21, {Entry("s/i-1", 21, "10.0.0.1 ready")}, 4});
   Step(100ms);
   BOOST_TEST((published->Own()->cold_stated_at > before));
 }
--- a/Tests/LibRouting/test_upstream_choice.cc
+++ b/Tests/LibRouting/test_upstream_choice.cc
@@ -247,4 +247,33 @@
   BOOST_TEST(chooser.OutstandingOf("vm-5") == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(AnEvacuatedUpstreamIsNeverChosen) {
+  for (int number = 0; number < 4; ++number) {
+    upstreams[static_cast<std::size_t>(number)].is_evacuated = true;
+  }
+  for (const auto& [vm, count] : Run(500, UniformLatency)) {
+    BOOST_TEST(vm >= "vm-4");
+  }
+  // Not even when the others are ejected or not heard from.
+  for (int number = 4; number < 7; ++number) {
+    upstreams[static_cast<std::size_t>(number)].is_suspect = true;
+  }
+  BOOST_TEST(Choose()->vm >= "vm-4");
+  for (upstream& each : upstreams) {
+    each.is_evacuated = true;
+  }
+  BOOST_TEST(Choose() == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamThatReturnsFromAnEvacuationStartsSlowly) {
+  Run(100, UniformLatency);
+  upstreams[0].is_evacuated = true;
+  Run(100, UniformLatency);
+  upstreams[0].is_evacuated = false;
+  const auto chosen = Run(100, UniformLatency);
+  const int returned = chosen.contains("vm-0") ? chosen.at("vm-0") : 0;
+  BOOST_TEST(returned > 0);
+  BOOST_TEST(returned < 15);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibTraffic/traffic_fixture.cc
+++ b/Tests/LibTraffic/traffic_fixture.cc
@@ -106,9 +106,9 @@
   return std::make_shared<const configuration>(std::move(parts));
 }
 
-void traffic_fixture::Publish(
+std::shared_ptr<const routing_snapshot> traffic_fixture::MakeSnapshot(
     const std::function<void(upstream&)>& edit_upstream,
-    const std::optional<own_backend_server>& own) {
+    const std::optional<own_backend_server>& own) const {
   auto ledger = std::make_shared<service_upstreams>();
   ledger->service = "ledger";
   for (std::size_t number = 1; number < vms_.size(); ++number) {
@@ -126,9 +126,21 @@
     }
     ledger->upstreams.push_back(made);
   }
-  const auto snapshot = std::make_shared<const routing_snapshot>(
+  return std::make_shared<const routing_snapshot>(
       MakeConfiguration(),
       std::vector<std::shared_ptr<const service_upstreams>>{ledger}, own);
+}
+
+void traffic_fixture::PublishTo(
+    test_vm& vm, const std::function<void(upstream&)>& edit_upstream,
+    const std::optional<own_backend_server>& own) {
+  vm.server->Publish(MakeSnapshot(edit_upstream, own));
+}
+
+void traffic_fixture::Publish(
+    const std::function<void(upstream&)>& edit_upstream,
+    const std::optional<own_backend_server>& own) {
+  const auto snapshot = MakeSnapshot(edit_upstream, own);
   for (test_vm& vm : vms_) {
     vm.server->Publish(snapshot);
   }
--- a/Tests/LibTraffic/traffic_fixture.h
+++ b/Tests/LibTraffic/traffic_fixture.h
@@ -66,11 +66,18 @@
   /// upstream; `own` describes the backend server beside every node.
   void Publish(const std::function<void(upstream&)>& edit_upstream = {},
                const std::optional<own_backend_server>& own = std::nullopt);
+  /// The same on one node only.
+  void PublishTo(test_vm& vm,
+                 const std::function<void(upstream&)>& edit_upstream,
+                 const std::optional<own_backend_server>& own);
   time_point Now() const { return clock_.Now(); }
 
  private:
   void StartNode(test_vm& vm, const std::string& service);
   std::shared_ptr<const configuration> MakeConfiguration() const;
+  std::shared_ptr<const routing_snapshot> MakeSnapshot(
+      const std::function<void(upstream&)>& edit_upstream,
+      const std::optional<own_backend_server>& own) const;
 
   fixture_options options_;
   std::uint32_t threads_ = 1;
