LibCatalog: State what the own backend server says about being cold

Change: the directory keeps them from the own registration. A newer revision of it renews the time also when the record is the same. The incarnation covers the birth as well as the id.

TestLibCatalog (48 cases) and TestLibNode (28 cases) pass.

--- a/Libraries/LibCatalog/upstream_directory.cc
+++ b/Libraries/LibCatalog/upstream_directory.cc
@@ -17,7 +17,10 @@
 constexpr std::chrono::minutes kLeavingRetention{5};
 
 std::uint64_t IncarnationOf(const registered_upstream& registered) {
-  return std::hash<std::string>{}(registered.record.id);
+  const upstream_record& record = registered.record;
+  const std::string name = record.id + '@' + std::to_string(record.born);
+  // 0 stands for an unknown start.
+  return std::max<std::uint64_t>(1, std::hash<std::string>{}(name));
 }
 
 }  // namespace
@@ -61,7 +64,7 @@
     }
   }
   entries_ = std::move(updated);
-  UpdateOwnLeaving(now);
+  UpdateOwn(now);
 }
 
 bool upstream_directory::Expire(time_point now) {
@@ -70,7 +73,7 @@
                              return end != time_point{} && now >= end;
                            }) > 0;
   if (has_expired) {
-    UpdateOwnLeaving(now);
+    UpdateOwn(now);
   }
   return has_expired;
 }
@@ -85,6 +88,30 @@
   return is_restored || leaving_since_.contains(registered.record.id);
 }
 
+void upstream_directory::UpdateOwn(time_point now) {
+  UpdateOwnLeaving(now);
+  UpdateOwnColdness(now);
+}
+
+// What a registration states holds from its writing on, and each writing has a
+// revision of its own, also when it states the same again.
+void upstream_directory::UpdateOwnColdness(time_point now) {
+  const entry* const own = OwnEntry();
+  if (own == nullptr) {
+    return;
+  }
+  const std::uint64_t incarnation = IncarnationOf(own->registered);
+  if (own_revision_ == own->registered.revision &&
+      own_incarnation_ == incarnation &&
+      own_cold_stated_at_ != time_point{}) {
+    return;
+  }
+  own_revision_ = own->registered.revision;
+  own_incarnation_ = incarnation;
+  own_cold_remaining_ = own->registered.record.cold_remaining;
+  own_cold_stated_at_ = now;
+}
+
 void upstream_directory::UpdateOwnLeaving(time_point now) {
   const entry* const own = OwnEntry();
   if (own == nullptr) {
@@ -175,6 +202,9 @@
       std::max<std::uint32_t>(1, static_cast<std::uint32_t>(entries_.size()));
   own.limits.queue = own.limits.slots * kQueueLimitPerSlot;
   own.leaving_since = own_leaving_since_;
+  own.incarnation = own_incarnation_;
+  own.cold_remaining = own_cold_remaining_;
+  own.cold_stated_at = own_cold_stated_at_;
   return own;
 }
 
--- a/Libraries/LibCatalog/upstream_directory.h
+++ b/Libraries/LibCatalog/upstream_directory.h
@@ -21,6 +21,8 @@
   /// The revision at which the registration was created: of two registrations
   /// with one address, the one created later is valid.
   std::uint64_t created = 0;
+  /// The revision at which it was last written.
+  std::uint64_t revision = 0;
 };
 
 /// A VM with a registered backend server, where a node runs.
@@ -75,7 +77,9 @@
   };
 
   const entry* OwnEntry() const;
+  void UpdateOwn(time_point now);
   void UpdateOwnLeaving(time_point now);
+  void UpdateOwnColdness(time_point now);
   bool IsSuperseded(const entry& candidate) const;
   bool IsLeaving(const registered_upstream& registered) const;
   void RememberLeaving(time_point now,
@@ -98,6 +102,12 @@
   /// Since when the backend server on this VM has been leaving or has had no
   /// registration; zero while it is available.
   time_point own_leaving_since_{};
+  /// What the last registration of the backend server on this VM stated, and
+  /// when this node read it; kept when the registration lapses.
+  std::uint64_t own_revision_ = 0;
+  std::uint64_t own_incarnation_ = 0;
+  std::chrono::milliseconds own_cold_remaining_{0};
+  time_point own_cold_stated_at_{};
 };
 
 }  // namespace wagtailmount
--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -355,15 +355,20 @@
                    .Text("reason", record.error().message));
     }
     if (read.record) {
-      registered.push_back({*read.record, item->created});
+      registered.push_back({*read.record, item->created, item->revision});
     }
     decoded.emplace(item->key, std::move(read));
   }
   decoded_upstreams_ = std::move(decoded);
   const bool is_same = std::equal(
       registered.begin(), registered.end(), registered_upstreams_.begin(),
-      registered_upstreams_.end(), [](const auto& left, const auto& right) {
-        return left.created == right.created && left.record == right.record;
+      registered_upstreams_.end(),
+      [this](const auto& left, const auto& right) {
+        // The backend server of this VM may state the same anew.
+        const bool is_own =
+            left.record.backend_server == settings_.backend_server;
+        return left.created == right.created && left.record == right.record &&
+               (!is_own || left.revision == right.revision);
       });
   if (is_same) {
     return;
--- a/Tests/LibCatalog/test_upstream_directory.cc
+++ b/Tests/LibCatalog/test_upstream_directory.cc
@@ -100,6 +100,40 @@
   BOOST_TEST(Ledger()[0].backend_server_id == "i-new");
 }
 
+// A backend server may state the same remaining time again, and it counts from
+// the later statement.
+BOOST_AUTO_TEST_CASE(ColdnessCountsFromTheLastWritingOfTheOwnRegistration) {
+  BOOST_TEST(
+      (directory.OwnBackendServer({}).cold_stated_at == time_point{}));
+  auto own = Registered("i-1", "10.0.0.1");
+  own.record.cold_remaining = milliseconds{4'000};
+  own.revision = 7;
+  Update({own});
+  const time_point first = clock.Now();
+  clock.Advance(milliseconds{500});
+  Update({own, Registered("i-2", "10.0.0.2")});
+  BOOST_TEST((directory.OwnBackendServer({}).cold_stated_at == first));
+  own.revision = 8;
+  Update({own});
+  BOOST_TEST((directory.OwnBackendServer({}).cold_stated_at == clock.Now()));
+  BOOST_TEST((directory.OwnBackendServer({}).cold_remaining ==
+              milliseconds{4'000}));
+  Update({});
+  BOOST_TEST((directory.OwnBackendServer({}).cold_stated_at == clock.Now()));
+}
+
+// A start under an id that was used before states a later birth.
+BOOST_AUTO_TEST_CASE(AStartUnderAUsedIdHasAnIncarnationOfItsOwn) {
+  auto own = Registered("i-1", "10.0.0.1");
+  own.record.born = 1'000;
+  Update({own});
+  const std::uint64_t before = directory.OwnBackendServer({}).incarnation;
+  BOOST_TEST(before == Ledger()[0].incarnation);
+  own.record.born = 2'000;
+  Update({own});
+  BOOST_TEST(directory.OwnBackendServer({}).incarnation != before);
+}
+
 // The platform may still hold a registration of an earlier backend server of
 // another service at this VM's address. It must not replace the service from
 // the settings or its slots.
--- a/Tests/LibNode/test_catalog_control.cc
+++ b/Tests/LibNode/test_catalog_control.cc
@@ -303,6 +303,17 @@
   BOOST_TEST(control.InForce()->Version().revision == 8U);
 }
 
+// The entry of this VM's backend server is written again with the same content:
+// what it states about being cold counts from then on.
+BOOST_AUTO_TEST_CASE(AnOwnEntryWrittenAgainIsANewStatement) {
+  const time_point before = published->Own()->cold_stated_at;
+  BOOST_TEST((before != time_point{}));
+  EndWatchWith(
+      catalog_changes{21, {Entry("s/i-1", 21, "10.0.0.1 ready")}, 4});
+  Step(100ms);
+  BOOST_TEST((published->Own()->cold_stated_at > before));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // A node that starts again: its first listing may be seconds old and show i-2
