LibLoad, LibTraffic: Keep to the rate of a cold backend server

Cause: a service's rate for cold backend servers and what these state about it were read and decided nothing. A cold one got what its slots let through; seen before were 34 to 36 requests in a second where 32 are allowed.

Change: start_window counts what was written within a second and a tenth, and what was granted and is not written yet; start_limits joins it to the named rate limit; cold_start_judge takes the backend server to be cold by what it states and after each sign that it may have started anew; backend_warmth carries signs and verdict. Starts are recorded while it is warm too. A new process takes the window as full. Refusals say "cold". Only services with such a rate are concerned.

Measured: in stepped time no second has more than 32 starts with connections of up to 400 ms and stalls of up to 100 ms, and over the real path neither has a backend server that is stated cold, restarted under its owner, or served by a restarted owner. TestLibLoad (79 cases), LibRouting, LibCatalog, LibNode and the seven programs of LibTraffic pass.

--- a/Libraries/LibLoad/admission_controller.cc
+++ b/Libraries/LibLoad/admission_controller.cc
@@ -140,9 +140,8 @@
       allows_long_wait ? (arriving.deadline - now) / kLongLateWaitDivisor
                        : LongestWait(now, arriving, service);
   if (ExpectedWait(now, key) >= longest_wait) {
-    reply.refused = arriving.objective == time_point{}
-                        ? refusal_cause::kTooLate
-                        : refusal_cause::kOverloaded;
+    reply.refused = arriving.objective == time_point{} ? refusal_cause::kTooLate
+                                                       : CauseOfLongWait(now);
     return reply;
   }
   if (Queued() >= limits_.queue && !EvictFromLaterQueue(key, reply.effects)) {
@@ -185,6 +184,10 @@
   if (has_run) {
     RecordDuration(found->second.rank, now - found->second.since);
   }
+  // What was not stated as sent may have been sent until now.
+  if (!found->second.is_sent) {
+    rate_.RecordSent(now);
+  }
   running_.erase(found);
   RefuseExpired(now, effects);
   StartQueued(now, effects);
@@ -193,8 +196,10 @@
 
 std::vector<admission_effect> admission_controller::Cancel(time_point now,
                                                            admission_id id) {
-  if (running_.contains(id)) {
+  const auto found = running_.find(id);
+  if (found != running_.end()) {
     rate_.Return();
+    found->second.is_sent = true;
   }
   return Finish(now, id, false);
 }
@@ -206,6 +211,26 @@
   return effects;
 }
 
+std::vector<admission_effect> admission_controller::SetCold(time_point now,
+                                                            bool is_cold) {
+  rate_.SetCold(is_cold);
+  return Advance(now);
+}
+
+bool admission_controller::TrySend(time_point now, admission_id id) {
+  const auto found = running_.find(id);
+  if (found == running_.end() || !rate_.TrySend(now)) {
+    return false;
+  }
+  found->second.is_sent = true;
+  return true;
+}
+
+refusal_cause admission_controller::CauseOfLongWait(time_point now) const {
+  return rate_.IsHeldByColdness(now) ? refusal_cause::kCold
+                                     : refusal_cause::kOverloaded;
+}
+
 std::vector<admission_effect> admission_controller::SetRateLimit(
     time_point now, std::optional<double> requests_a_second) {
   rate_.SetRate(now, requests_a_second);
@@ -242,7 +267,7 @@
         CountLateOutcome(waiting.first, false);
         effects.push_back({each.id, each.request.deadline <= now
                                         ? refusal_cause::kTooLate
-                                        : refusal_cause::kOverloaded});
+                                        : CauseOfLongWait(now)});
       }
       return has_expired;
     });
--- a/Libraries/LibLoad/admission_controller.h
+++ b/Libraries/LibLoad/admission_controller.h
@@ -11,7 +11,7 @@
 #include "LibBase/clock.h"
 #include "LibConfig/configuration.h"
 #include "LibLoad/attempt_outcome.h"
-#include "LibLoad/rate_limiter.h"
+#include "LibLoad/start_limits.h"
 
 namespace wagtailmount {
 
@@ -94,6 +94,20 @@
   std::vector<admission_effect> SetRateLimit(
       time_point now, std::optional<double> requests_a_second);
 
+  /// Sets how many requests may be sent to the backend server while it is cold;
+  /// see start_limits::SetMostCold().
+  void SetMostCold(std::optional<std::size_t> most, time_point unknown_until) {
+    rate_.SetMostCold(most, unknown_until);
+  }
+
+  /// Applies that limit or lifts it; returns which queued requests start or are
+  /// refused.
+  std::vector<admission_effect> SetCold(time_point now, bool is_cold);
+
+  /// Whether a started request may be written to the backend server now. False
+  /// if that has become cold since; the request is then to be cancelled.
+  bool TrySend(time_point now, admission_id id);
+
   /// Starts, queues or refuses a request.
   admission_reply Arrive(time_point now, const arriving_request& arriving);
   admission_reply Arrive(time_point now, time_point deadline,
@@ -148,10 +162,12 @@
   struct running_request {
     time_point since;
     request_priority rank;
+    bool is_sent = false;
   };
 
   std::size_t Slots() const;
   std::size_t UsableSlots() const;
+  refusal_cause CauseOfLongWait(time_point now) const;
   void RefuseExpired(time_point now, std::vector<admission_effect>& effects);
   void StartQueued(time_point now, std::vector<admission_effect>& effects);
   void StartNext(time_point now, std::vector<admission_effect>& effects);
@@ -166,7 +182,7 @@
   void RecordDuration(request_priority rank, duration taken);
 
   upstream_limits limits_;
-  rate_limiter rate_;
+  start_limits rate_;
   admission_id last_id_ = 0;
   std::map<admission_id, running_request> running_;
   std::map<queue_key, std::deque<waiting_request>> waiting_;
--- a/Libraries/LibNode/metrics_text.cc
+++ b/Libraries/LibNode/metrics_text.cc
@@ -12,7 +12,7 @@
   std::uint64_t traffic_counters::*value;
 };
 
-constexpr std::array<named_counter, 17> kTrafficCounters{{
+constexpr std::array<named_counter, 18> kTrafficCounters{{
     {"requests_total", &traffic_counters::requests},
     {"answered_ran_total", &traffic_counters::answered_ran},
     {"answered_may_have_run_total", &traffic_counters::answered_may_have_run},
@@ -23,6 +23,7 @@
     {"retries_over_budget_total", &traffic_counters::retries_over_budget},
     {"owner_admitted_total", &traffic_counters::owner_admitted},
     {"owner_admitted_limited_total", &traffic_counters::owner_admitted_limited},
+    {"owner_admitted_cold_total", &traffic_counters::owner_admitted_cold},
     {"owner_refused_total", &traffic_counters::owner_refused},
     {"late_answers_dropped_total", &traffic_counters::late_answers_dropped},
     {"backend_crashes_total", &traffic_counters::backend_crashes},
--- a/Libraries/LibNode/traffic_report.cc
+++ b/Libraries/LibNode/traffic_report.cc
@@ -38,6 +38,7 @@
           {"retries_over_budget", counters.retries_over_budget},
           {"owner_admitted", counters.owner_admitted},
           {"owner_admitted_limited", counters.owner_admitted_limited},
+          {"owner_admitted_cold", counters.owner_admitted_cold},
           {"owner_refused", counters.owner_refused},
           {"late_answers_dropped", counters.late_answers_dropped},
           {"backend_crashes", counters.backend_crashes},
--- a/Libraries/LibTraffic/backend_gate.cc
+++ b/Libraries/LibTraffic/backend_gate.cc
@@ -11,6 +11,8 @@
   }
 }
 
+bool backend_slot::TrySend() { return gate_->TrySend(id_); }
+
 void backend_gate::SetLimits(const upstream_limits& limits) {
   const std::lock_guard lock{mutex_};
   admission_.SetLimits(limits);
@@ -30,6 +32,24 @@
   }
 }
 
+void backend_gate::SetMostCold(std::optional<std::size_t> most,
+                               time_point unknown_until) {
+  const std::lock_guard lock{mutex_};
+  admission_.SetMostCold(most, unknown_until);
+}
+
+void backend_gate::SetCold(bool is_cold) {
+  const std::lock_guard lock{mutex_};
+  is_cold_ = is_cold;
+  ApplyEffects(admission_.SetCold(clock_.Now(), is_cold));
+  WakeForNextStart();
+}
+
+bool backend_gate::TrySend(admission_id id) {
+  const std::lock_guard lock{mutex_};
+  return admission_.TrySend(clock_.Now(), id);
+}
+
 idle_connection_permit backend_gate::TryAcquireIdlePermit() {
   if (++idle_connections_ <= maximum_idle_connections_) {
     return idle_connection_permit{idle_connections_};
@@ -80,7 +100,7 @@
         waiting->refused = refusal_cause::kOverloaded;
         waiters_.erase(id);
       }
-      if (!waiting->is_decided && rate_limit_) {
+      if (!waiting->is_decided && LimitsStarts()) {
         ApplyEffects(admission_.Advance(now));
       }
       if (waiting->is_decided) {
@@ -88,7 +108,7 @@
         break;
       }
       time_point wake_at = start_by;
-      if (rate_limit_ && waiters_.begin()->second == waiting) {
+      if (LimitsStarts() && waiters_.begin()->second == waiting) {
         wake_at =
             std::min(wake_at, admission_.NextStart(now).value_or(wake_at));
       }
@@ -134,10 +154,10 @@
                     [waiting] { waiting->timer.cancel(); });
 }
 
-// Only a rate limit starts requests as time passes. Lets the first waiting
-// request set its timer anew, for the next start may have changed.
+// Only a limit of starts lets requests start as time passes. Lets the first
+// waiting request set its timer anew, for the next start may have changed.
 void backend_gate::WakeForNextStart() {
-  if (rate_limit_ && !waiters_.empty()) {
+  if (LimitsStarts() && !waiters_.empty()) {
     Wake(waiters_.begin()->second);
   }
 }
--- a/Libraries/LibTraffic/backend_gate.h
+++ b/Libraries/LibTraffic/backend_gate.h
@@ -44,6 +44,11 @@
   backend_slot& operator=(const backend_slot&) = delete;
   ~backend_slot();
 
+  /// Whether the request may be written to the backend server now; to be asked
+  /// immediately before that. False if it has become cold since the slot was
+  /// granted.
+  bool TrySend();
+
   /// States what became of the request; kRan unless this is called.
   void SetUse(slot_use use) { use_ = use; }
 
@@ -60,7 +65,8 @@
 };
 
 /// Limits the number of requests that run at this VM's backend server at the
-/// same time, and how many start in a second if it names a rate limit; the
+/// same time, and how many start in a second if it names a rate limit or is
+/// cold; the
 /// admission policy queues or refuses the others. Shared by all traffic
 /// threads; must outlive their io_contexts.
 class backend_gate {
@@ -72,6 +78,14 @@
   /// Applies the rate limit that the backend server names; none lifts it.
   void SetRateLimit(std::optional<double> requests_a_second);
 
+  /// Sets how many requests may be sent to the backend server while it is cold,
+  /// and applies that limit or lifts it; see start_limits.
+  void SetMostCold(std::optional<std::size_t> most, time_point unknown_until);
+  void SetCold(bool is_cold);
+
+  /// See backend_slot::TrySend(). Called by backend_slot only.
+  bool TrySend(admission_id id);
+
   /// Waits for a slot, for at most as long as the admission policy allows.
   task<slot_result> AcquireSlot(arriving_request arriving);
 
@@ -95,6 +109,7 @@
     refusal_cause refused = refusal_cause::kNone;
   };
 
+  bool LimitsStarts() const { return rate_limit_ || is_cold_; }
   void ApplyEffects(std::span<const admission_effect> effects);
   static void Wake(const std::shared_ptr<waiter>& waiting);
   void WakeForNextStart();
@@ -105,6 +120,7 @@
   mutable std::mutex mutex_;
   admission_controller admission_;
   std::optional<double> rate_limit_;
+  bool is_cold_ = false;
   /// The first of them also wakes up when the rate limit lets the next queued
   /// request start, whichever that is.
   std::map<admission_id, std::shared_ptr<waiter>> waiters_;
--- a/Libraries/LibTraffic/connection_pool.cc
+++ b/Libraries/LibTraffic/connection_pool.cc
@@ -41,10 +41,14 @@
     const bool may_be_closed =
         now - connection->idle_since >=
         connection->stated_idle_timeout - kIdleTimeoutMargin;
-    if (!may_be_closed && !connection->IsUnusable()) {
+    if (may_be_closed) {
+      continue;
+    }
+    if (!connection->IsUnusable()) {
       connection->is_reused = true;
       return connection;
     }
+    closed_idle_since_ = connection->idle_since;
   }
   return nullptr;
 }
--- a/Libraries/LibTraffic/connection_pool.h
+++ b/Libraries/LibTraffic/connection_pool.h
@@ -2,6 +2,8 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <utility>
 #include <vector>
 
 #include "LibBase/endpoint.h"
@@ -19,6 +21,12 @@
   std::unique_ptr<http_connection> Take(const endpoint& target, time_point now,
                                         duration maximum_idle);
 
+  /// Since when the last connection had been idle that Take() found unusable
+  /// before its time, since this was last asked; none if it found none.
+  std::optional<time_point> TakeClosedIdleSince() {
+    return std::exchange(closed_idle_since_, std::nullopt);
+  }
+
   /// Stores an idle connection. Its last exchange must be complete.
   void Keep(const endpoint& target, std::unique_ptr<http_connection> connection,
             time_point now);
@@ -29,6 +37,7 @@
   void CloseIdleSince(const endpoint& target, time_point since);
 
  private:
+  std::optional<time_point> closed_idle_since_;
   std::map<endpoint, std::vector<std::unique_ptr<http_connection>>> idle_;
 };
 
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -28,6 +28,7 @@
   switch (cause) {
     case refusal_cause::kQueueFull:
     case refusal_cause::kOverloaded:
+    case refusal_cause::kCold:
     case refusal_cause::kShed:
     case refusal_cause::kDraining:
     case refusal_cause::kTooLate:
--- a/Libraries/LibTraffic/http_connection.h
+++ b/Libraries/LibTraffic/http_connection.h
@@ -60,6 +60,8 @@
   boost::beast::tcp_stream stream;
   boost::beast::flat_buffer buffer;
   idle_connection_permit permit;  ///< Held while idle; backend server only.
+  /// When it was opened; backend server only.
+  time_point opened_at{};
   time_point idle_since{};
   /// How long the peer keeps it open while it is idle, as far as it says so.
   duration stated_idle_timeout = duration::max();
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -77,9 +77,13 @@
     traffic_worker& worker, const owner_request& incoming) {
   const traffic_state& state = worker.state;
   const time_point now = state.clock.Now();
+  worker.pool.TakeClosedIdleSince();  // Of another target.
   std::unique_ptr<http_connection> connection =
       worker.pool.Take(state.settings.backend_server, now,
                        MaximumIdle(incoming.request.message));
+  if (const auto closed = worker.pool.TakeClosedIdleSince()) {
+    worker.state.warmth.RecordConnectionLost(*closed);
+  }
   if (connection != nullptr) {
     connection->permit.Return();
   } else {
@@ -87,6 +91,12 @@
         std::min<duration>(kConnectTimeout, incoming.deadline - now);
     connection =
         co_await Connect(state.settings.backend_server, connect_timeout);
+    if (connection == nullptr) {
+      worker.state.warmth.RecordUnreachable();
+    } else {
+      connection->opened_at = state.clock.Now();
+      connection->idle_since = connection->opened_at;
+    }
   }
   co_return connection;
 }
@@ -135,6 +145,29 @@
   }
 }
 
+bool IsConnectionLost(attempt_outcome outcome) {
+  return outcome == attempt_outcome::kClosedBeforeFirstByte ||
+         outcome == attempt_outcome::kLostWhileWriting ||
+         outcome == attempt_outcome::kLostAfterWriting ||
+         outcome == attempt_outcome::kAnswerTruncated;
+}
+
+// Records what the end of a request that was sent at `asked_at`, on a
+// connection opened at `opened_at` and alive at `alive_at`, tells of the
+// backend server's coldness.
+void RecordWarmth(traffic_state& state, const attempt_result& result,
+                  time_point opened_at, time_point alive_at,
+                  time_point asked_at) {
+  if (result.answer) {
+    const std::string_view field = state.settings.fields.cold_time;
+    state.warmth.RecordAnswer(
+        opened_at, asked_at,
+        field.empty() ? field : FieldOf(result.answer->message, field));
+  } else if (IsConnectionLost(result.outcome)) {
+    state.warmth.RecordConnectionLost(alive_at);
+  }
+}
+
 // Until the backend server's first answer, this process knows its rate limit
 // only from other nodes.
 void ApplyKnownRateLimit(traffic_state& state, const owner_request& incoming) {
@@ -177,6 +210,7 @@
                                         owner_request incoming) {
   traffic_state& state = worker.state;
   ApplyKnownRateLimit(state, incoming);
+  state.warmth.Refresh();
   quarantine_check quarantine{worker, incoming};
   slot_result acquired;
   if (quarantine.IsRefused()) {
@@ -200,6 +234,9 @@
     if (acquired.refused == refusal_cause::kNone) {
       acquired.refused = quarantine.CauseNotToStart();
     }
+    if (acquired.refused == refusal_cause::kNone && !acquired.slot.TrySend()) {
+      acquired.refused = refusal_cause::kCold;
+    }
   }
   if (acquired.refused != refusal_cause::kNone) {
     acquired.slot.SetUse(slot_use::kNotSent);
@@ -225,11 +262,17 @@
   }
   PrepareForBackendServer(incoming.request.message, fields.backend_deadline,
                           incoming.deadline, now);
+  if (state.warmth.IsCold()) {
+    ++state.counters.owner_admitted_cold;
+  }
+  const time_point opened_at = connection->opened_at;
+  const time_point alive_at = connection->idle_since;
   attempt_result result = co_await Exchange(
       connection, incoming.request, incoming.deadline, state.clock,
       {.id = request_id_rule::kOptional,
        .may_end_with_connection = fields.may_end_with_connection},
       incoming.watch);
+  RecordWarmth(state, result, opened_at, alive_at, now);
   RecordStatement(state, incoming, result, now);
   if (connection != nullptr) {
     worker.KeepBackendConnection(std::move(connection));
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -107,10 +107,10 @@
 
   void Publish(std::shared_ptr<const routing_snapshot> snapshot) override {
     if (const auto& own = snapshot->Own()) {
-      state_.gate.SetLimits(own->limits);
+      ApplyLimits(own->limits, own);
     } else if (const auto declared = snapshot->Configuration().FindService(
                    state_.settings.service)) {
-      state_.gate.SetLimits(declared->limits);
+      ApplyLimits(declared->limits, own);
     }
     const std::string_view current = CurrentBackendServer(*snapshot);
     if (!current.empty() && !state_.statements.IsCurrent(current)) {
@@ -170,6 +170,12 @@
   }
 
  private:
+  void ApplyLimits(const upstream_limits& limits,
+                   const std::optional<own_backend_server>& own) {
+    state_.gate.SetLimits(limits);
+    state_.warmth.Publish(limits, own);
+  }
+
   // The id of this VM's backend server; empty if it has none or is not known.
   std::string_view CurrentBackendServer(
       const routing_snapshot& snapshot) const {
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -55,6 +55,8 @@
   std::uint64_t owner_admitted = 0;  ///< Started at this VM's backend server.
   /// Those of them started while the backend server named a rate limit.
   std::uint64_t owner_admitted_limited = 0;
+  /// Those started while the backend server was taken to be cold.
+  std::uint64_t owner_admitted_cold = 0;
   std::uint64_t owner_refused = 0;  ///< Refused: draining, full or too late.
   std::uint64_t late_answers_dropped = 0;
   /// Requests that ran at this VM's backend server when it crashed.
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -16,6 +16,7 @@
   counts.retries_over_budget = retries_over_budget;
   counts.owner_admitted = owner_admitted;
   counts.owner_admitted_limited = owner_admitted_limited;
+  counts.owner_admitted_cold = owner_admitted_cold;
   counts.owner_refused = owner_refused;
   counts.late_answers_dropped = late_answers_dropped;
   counts.backend_crashes = backend_crashes;
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -13,6 +13,7 @@
 #include "LibRouting/exchange_sizes.h"
 #include "LibTraffic/backend_gate.h"
 #include "LibTraffic/backend_statements.h"
+#include "LibTraffic/backend_warmth.h"
 #include "LibTraffic/connection_pool.h"
 #include "LibTraffic/decision_log.h"
 #include "LibTraffic/request_quarantine.h"
@@ -33,6 +34,7 @@
   std::atomic<std::uint64_t> retries_over_budget{0};
   std::atomic<std::uint64_t> owner_admitted{0};
   std::atomic<std::uint64_t> owner_admitted_limited{0};
+  std::atomic<std::uint64_t> owner_admitted_cold{0};
   std::atomic<std::uint64_t> owner_refused{0};
   std::atomic<std::uint64_t> late_answers_dropped{0};
   std::atomic<std::uint64_t> backend_crashes{0};
@@ -66,6 +68,8 @@
         clock(server_clock),
         log(server_log),
         gate(server_clock),
+        warmth(server_clock, server_log, gate, server_settings.cold_overage,
+               server_settings.cold_slack),
         statements(server_clock, server_log),
         quarantine(server_clock, server_log, server_settings.vm,
                    server_settings.fields.caller_service) {}
@@ -104,6 +108,7 @@
   service_statistics statistics;
   decision_log decisions;
   backend_gate gate;
+  backend_warmth warmth;  ///< After the gate, which it uses.
   backend_statements statements;
   request_quarantine quarantine;
 };
--- a/Tests/LibTraffic/traffic_fixture.cc
+++ b/Tests/LibTraffic/traffic_fixture.cc
@@ -68,6 +68,8 @@
   settings.threads = threads_;
   settings.maximum_descriptors = options_.maximum_descriptors;
   settings.fields.expected_backend_server = options_.expected_backend_server;
+  settings.cold_overage = options_.cold_overage;
+  settings.cold_slack = options_.cold_slack;
   settings.fields.may_end_with_connection = options_.may_end_with_connection;
   auto started = traffic_server::Start(settings, clock_);
   if (!started) {
@@ -87,6 +89,13 @@
   StartNode(Entry(), "other");
 }
 
+void traffic_fixture::RestartBackendServer(int number) {
+  test_vm& owner = Owner(number);
+  owner.backend_server.reset();
+  owner.backend_server =
+      std::make_unique<fake_backend_server>(owner.backend_address);
+}
+
 std::shared_ptr<const configuration> traffic_fixture::MakeConfiguration()
     const {
   auto ledger = std::make_shared<service>();
--- a/Tests/LibTraffic/traffic_fixture.h
+++ b/Tests/LibTraffic/traffic_fixture.h
@@ -33,6 +33,8 @@
   std::chrono::milliseconds deadline{2'000};
   std::chrono::milliseconds latency_objective{0};  ///< 0: there is none.
   std::uint32_t maximum_descriptors = 0;  ///< Of each node; 0 if unknown.
+  double cold_overage = 1.0;
+  std::uint32_t cold_slack = 0;
   /// Names the id of the backend server that a request is meant for; empty if
   /// backend servers have none.
   std::string_view expected_backend_server;
@@ -62,6 +64,9 @@
   /// The same for VM 0.
   void RestartEntry();
 
+  /// Ends the backend server of an owner and starts it again at its address.
+  void RestartBackendServer(int number);
+
   /// Publishes a new snapshot on all nodes. `edit_upstream` may alter each
   /// upstream; `own` describes the backend server beside every node.
   void Publish(const std::function<void(upstream&)>& edit_upstream = {},
