--- a/Libraries/LibNode/metrics_text.cc
+++ b/Libraries/LibNode/metrics_text.cc
@@ -23,6 +23,7 @@
     {"retries_over_budget_total", &traffic_counters::retries_over_budget},
     {"owner_admitted_total", &traffic_counters::owner_admitted},
     {"owner_admitted_limited_total", &traffic_counters::owner_admitted_limited},
+    {"owner_admitted_cold_total", &traffic_counters::owner_admitted_cold},
     {"owner_refused_total", &traffic_counters::owner_refused},
     {"owner_refused_evacuated_total",
      &traffic_counters::owner_refused_evacuated},
