LibTraffic: Serve repeatable requests of pipelining callers side by side

Cause: a connection of a caller carried one request at a time. Of a caller that sends eight lookups at once, the last waited for seven others and was not even read when its caller gave up.

Change: while a repeatable request that has arrived whole is served, further ones are read from its connection (at most 16, bounded by the bytes of answers that wait) and served beside it; answers keep the order. answer_order decides in steps and without I/O; caller_line has the sockets; caller_request is what one request does. Requests that may not be repeated, have a body or are malformed are served alone, as before. The wait for the caller's close, which each request had, is also what shows further bytes: a connection without pipelining starts no more coroutines than before. Behind bytes that may not be read, the close is asked for every 150 ms; before, it was not seen at all. A close while a connection is being opened now ends the exchange as well.

Ruled out: a reading coroutine for each connection (costs each connection a wake-up and memory), reading bodies ahead (rare, would need copies).

The test PipelinedRequestsShareOneConnection asked for one connection to a backend server that may run many requests at once; this held only because requests were served one by one. It asks the same now of a backend server that runs one at a time.

--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -3,10 +3,11 @@
 #include "LibLoad/retry.h"
 #include "LibLoad/retry_after_delay.h"
 #include "LibTraffic/answers.h"
+#include "LibTraffic/caller_request.h"
 #include "LibTraffic/entry.h"
 #include "LibTraffic/header_fields.h"
 #include "LibTraffic/request_reading.h"
-#include "LibTraffic/sessions.h"
+#include "LibTraffic/request_start.h"
 
 namespace wagtailmount::detail {
 
@@ -22,8 +23,8 @@
 // One of this many requests that succeed at the first attempt is logged.
 constexpr std::uint64_t kSuccessesPerLogLine = 64;
 
-// What happens to a connection after one request.
-enum class next_step : std::uint8_t { kKeepAlive, kLingeringClose, kCloseNow };
+// Approximate memory of an answer that waits for its turn, besides its body.
+constexpr std::size_t kHeldAnswerBytes = 1024;
 
 void CountVerdict(shared_counters& counters, verdict proved) {
   switch (proved) {
@@ -39,59 +40,51 @@
   }
 }
 
-std::string MakeRequestId(traffic_worker& worker) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  constexpr std::size_t kDigitCount = 16;
-  std::uint64_t bits = worker.random.Below(~std::uint64_t{0});
-  std::string id(kDigitCount, '0');
-  for (char& digit : id) {
-    digit = kDigits[bits % kDigits.size()];
-    bits /= kDigits.size();
-  }
-  return id;
-}
-
-// Draws the target service from a route's traffic split by weight.
-const service& ChooseTargetByWeight(const route& chosen,
-                                    random_source& random) {
-  std::uint64_t total_weight = 0;
-  for (const route_part& part : chosen.parts) {
-    total_weight += part.weight;
-  }
-  std::uint64_t remaining_weight = random.Below(total_weight);
-  for (const route_part& part : chosen.parts) {
-    if (remaining_weight < part.weight) {
-      return *part.target;
-    }
-    remaining_weight -= part.weight;
-  }
-  return *chosen.target;
-}
-
 // One request of a caller, from its header section to its answer.
-class caller_request {
+class routed_request final : public caller_request {
  public:
-  caller_request(traffic_worker& worker, http_connection& caller)
+  routed_request(traffic_worker& worker, caller_line& line)
       : worker_(worker),
         state_(worker.state),
-        caller_(caller),
+        line_(line),
+        caller_(line.connection),
         snapshot_(worker.state.snapshot.load()) {
     ConfigureParser(parser_, Limits());
   }
 
-  task<next_step> Serve() {
-    const auto fault = co_await ReadRequestHeader(caller_, parser_, Limits());
-    ++state_.counters.requests;
-    if (fault) {
-      co_return co_await RejectInvalidRequest(*fault);
+  void Join() override { ticket_ = line_.order.Add(); }
+  line_ticket Ticket() const override { return ticket_; }
+
+  bool ReadBehind() override {
+    fault_ = ParseRequestHeader(caller_, parser_);
+    if (fault_ || !parser_.is_done()) {
+      return false;
     }
-    const http_request& head = parser_.get();
-    is_head_ = head.method() == http::verb::head;
-    id_ = FieldOf(head, kRequestIdField);
-    if (id_.empty()) {
-      id_ = MakeRequestId(worker_);
+    ChooseRoute();
+    const bool is_refused = state_.is_draining || chosen_ == nullptr;
+    is_read_ahead_ =
+        is_refused || IsIdempotent(chosen_->repeatable,
+                                   ToStandard(parser_.get().method_string()));
+    if (is_read_ahead_) {
+      Join();
+      AllowBehind();
+      ++state_.counters.requests;
+      ++state_.counters.pipelined_requests;
+    }
+    return is_read_ahead_;
+  }
+
+  task<next_step> Serve() override {
+    if (!is_read_ahead_) {
+      if (!fault_) {
+        fault_ = co_await ReadRequestHeader(caller_, parser_, Limits());
+      }
+      ++state_.counters.requests;
+      if (fault_) {
+        co_return co_await RejectInvalidRequest(*fault_);
+      }
+      ChooseRoute();
     }
-    snapshot_ = state_.snapshot.load();
     if (state_.is_draining) {
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kDraining);
     }
@@ -99,17 +92,38 @@
       co_return co_await Refuse(verdict::kNotRun,
                                 refusal_cause::kNoConfiguration);
     }
-    const route* const chosen = snapshot_->Configuration().FindRoute(
-        HostOf(ToStandard(head[http::field::host])),
-        PathOf(ToStandard(head.target())), ToStandard(head.method_string()));
-    if (chosen == nullptr) {
+    if (chosen_ == nullptr) {
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kNoRoute);
     }
-    const next_step next = co_await Run(*snapshot_, *chosen);
+    const next_step next = co_await Run(*snapshot_, *chosen_);
     co_return next;
   }
 
  private:
+  // To be called once the header section is parsed.
+  void ChooseRoute() {
+    const http_request& head = parser_.get();
+    is_head_ = head.method() == http::verb::head;
+    id_ = FieldOf(head, kRequestIdField);
+    if (id_.empty()) {
+      id_ = MakeRequestId(worker_.random);
+    }
+    snapshot_ = state_.snapshot.load();
+    if (snapshot_ == nullptr) {
+      return;
+    }
+    chosen_ = snapshot_->Configuration().FindRoute(
+        HostOf(ToStandard(head[http::field::host])),
+        PathOf(ToStandard(head.target())), ToStandard(head.method_string()));
+  }
+
+  // Of a request that has arrived whole and may be repeated, or runs nothing.
+  void AllowBehind() {
+    if (parser_.is_done() && parser_.keep_alive()) {
+      line_.order.AllowBehind(ticket_);
+    }
+  }
+
   request_limits Limits() const {
     return snapshot_ == nullptr ? request_limits{}
                                 : snapshot_->Configuration().Limits();
@@ -141,14 +155,37 @@
     }
     const bool is_idempotent = IsIdempotent(
         chosen.repeatable, ToStandard(request.message.method_string()));
+    if (is_idempotent) {
+      AllowBehind();
+    }
     entry_result result = co_await ForwardRequest(
-        worker_, entry_request{request, caller_, chosen, target, snapshot,
-                               deadline_, ObjectiveOf(chosen), is_idempotent});
+        worker_,
+        entry_request{request, caller_, chosen, target, snapshot, deadline_,
+                      ObjectiveOf(chosen), is_idempotent, line_});
+    if (!line_.order.Has(ticket_)) {
+      co_return next_step::kCloseNow;
+    }
     Record(chosen, target, result);
     if (!result.answer) {
       worker_.patience.RecordRefusal(state_.clock.Now(), chosen.name);
       co_return co_await Refuse(result.proved, result.cause);
     }
+    if (!line_.order.IsFirst(ticket_)) {
+      const bool is_whole = result.answer->remaining_body == nullptr;
+      const time_point end =
+          is_whole ? time_point::max() : result.answer->rest_by;
+      const turn ended = co_await line_.WaitForTurn(
+          ticket_, kHeldAnswerBytes + result.answer->body.size(), end);
+      if (ended == turn::kExpired) {
+        // Gives back what the rest of the answer holds.
+        result.answer.reset();
+        co_return co_await Refuse(verdict::kMayHaveRun,
+                                  refusal_cause::kDeadline);
+      }
+      if (ended == turn::kCancelled) {
+        co_return next_step::kCloseNow;
+      }
+    }
     CountVerdict(state_.counters, verdict::kRan);
     const bool is_kept_alive = CanKeepAlive();
     FinishAnswer(*result.answer, id_, is_head_, is_kept_alive);
@@ -165,13 +202,21 @@
 
   // Whether another request may follow on the connection.
   bool CanKeepAlive() {
-    const bool can_keep_alive = parser_.is_done() && parser_.keep_alive() &&
-                                !state_.is_leaving && !state_.is_stopping;
-    if (can_keep_alive && state_.IsCrowded()) {
+    const bool can_keep_alive = parser_.is_done() && parser_.keep_alive();
+    if (can_keep_alive && line_.order.HasBehind(ticket_)) {
+      // What was read is answered.
+      return true;
+    }
+    if (!can_keep_alive || state_.is_leaving || state_.is_stopping) {
+      line_.order.EndReading();
+      return false;
+    }
+    if (state_.IsCrowded()) {
+      line_.order.EndReading();
       ++state_.counters.closed_crowded;
       return false;
     }
-    return can_keep_alive;
+    return true;
   }
 
   void Record(const route& chosen, const service& target,
@@ -222,6 +267,13 @@
   }
 
   task<next_step> Refuse(verdict proved, refusal_cause cause) {
+    if (!line_.order.IsFirst(ticket_)) {
+      const turn ended = co_await line_.WaitForTurn(ticket_, kHeldAnswerBytes,
+                                                    time_point::max());
+      if (ended != turn::kCome) {
+        co_return next_step::kCloseNow;
+      }
+    }
     CountVerdict(state_.counters, proved);
     if (cause == refusal_cause::kQuarantined) {
       ++state_.counters.refused_quarantined;
@@ -310,9 +362,14 @@
 
   traffic_worker& worker_;
   traffic_state& state_;
+  caller_line& line_;
   http_connection& caller_;
+  line_ticket ticket_ = 0;
   std::shared_ptr<const routing_snapshot> snapshot_;
   http_request_parser parser_;
+  std::optional<request_read_fault> fault_;
+  const route* chosen_ = nullptr;  ///< Null if none is known for the request.
+  bool is_read_ahead_ = false;     ///< Served beside others of its connection.
   std::string id_;
   time_point begin_{};
   time_point deadline_{};         ///< Zero until the route is known.
@@ -323,28 +380,9 @@
 
 }  // namespace
 
-task<void> ServeCaller(traffic_worker& worker,
-                       boost::asio::ip::tcp::socket socket) {
-  http_connection caller{std::move(socket)};
-  const counted_guard connected{worker.state.counters.caller_connections};
-  next_step next = next_step::kKeepAlive;
-  while (next == next_step::kKeepAlive) {
-    // NOTE: g++ 12 evaluates a co_await on the right of && in a condition even
-    // if the left side is false, so it is a statement of its own.
-    const bool has_request =
-        co_await worker.WaitForClient(caller, worker.state.idle_timeout.load());
-    if (!has_request) {
-      break;
-    }
-    const counted_guard counted{worker.state.counters.in_flight};
-    caller_request request{worker, caller};
-    next = co_await request.Serve();
-    // Counted as in flight, so that the last answer reaches the caller before
-    // the process ends.
-    if (next == next_step::kLingeringClose) {
-      co_await LingeringClose(caller);
-    }
-  }
+std::unique_ptr<caller_request> caller_request::Make(traffic_worker& worker,
+                                                     caller_line& line) {
+  return std::make_unique<routed_request>(worker, line);
 }
 
 }  // namespace wagtailmount::detail
--- a/Libraries/LibTraffic/disconnect_watcher.cc
+++ b/Libraries/LibTraffic/disconnect_watcher.cc
@@ -2,20 +2,33 @@
 
 namespace wagtailmount::detail {
 
-disconnect_watcher::disconnect_watcher(http_connection& client) {
-  shared_->client = &client;
+disconnect_watcher::disconnect_watcher(http_connection& client)
+    : shared_(std::make_shared<shared_state>()), state_(*shared_) {
+  state_.client = &client;
+}
+
+disconnect_watcher::disconnect_watcher(http_connection& client,
+                                       client_watch& shared)
+    : state_(own_), watch_(&shared) {
+  state_.client = &client;
 }
 
 disconnect_watcher::~disconnect_watcher() {
-  if (is_started_ && !shared_->has_disconnected) {
+  if (is_started_ && watch_ != nullptr) {
+    watch_->Remove(*this);
+  } else if (is_started_ && !state_.has_disconnected) {
     error_code ignored;
-    shared_->client->stream.socket().cancel(ignored);
+    state_.client->stream.socket().cancel(ignored);
   }
-  shared_->client = nullptr;
+  state_.client = nullptr;
 }
 
 void disconnect_watcher::Start() {
   is_started_ = true;
+  if (watch_ != nullptr) {
+    watch_->Add(*this);
+    return;
+  }
   shared_->client->stream.socket().async_wait(
       boost::asio::ip::tcp::socket::wait_read,
       [shared = shared_](error_code failure) {
@@ -26,15 +39,28 @@
         if (is_over || !shared->client->HasPeerClosed()) {
           return;
         }
-        shared->has_disconnected = true;
-        if (shared->connection_to_close != nullptr) {
-          shared->connection_to_close->Close();
-        }
+        shared->Disconnect();
       });
 }
 
+void disconnect_watcher::CloseOnDisconnect(http_connection* connection) {
+  state_.connection_to_close = connection;
+  if (state_.has_disconnected) {
+    state_.Disconnect();
+  }
+}
+
+void disconnect_watcher::Disconnect() { state_.Disconnect(); }
+
 bool disconnect_watcher::HasClientDisconnected() {
-  return shared_->has_disconnected || shared_->client->HasPeerClosed();
+  return state_.has_disconnected || state_.client->HasPeerClosed();
+}
+
+void disconnect_watcher::shared_state::Disconnect() {
+  has_disconnected = true;
+  if (connection_to_close != nullptr) {
+    connection_to_close->Close();
+  }
 }
 
 }  // namespace wagtailmount::detail
--- a/Libraries/LibTraffic/disconnect_watcher.h
+++ b/Libraries/LibTraffic/disconnect_watcher.h
@@ -6,13 +6,30 @@
 
 namespace wagtailmount::detail {
 
+class disconnect_watcher;
+
+/// Watches a connection to a client for several requests that are served on it
+/// side by side, and calls disconnect_watcher::Disconnect() for each.
+class client_watch {
+ public:
+  virtual void Add(disconnect_watcher& watcher) = 0;
+  virtual void Remove(disconnect_watcher& watcher) = 0;
+
+ protected:
+  ~client_watch() = default;
+};
+
 /// Detects that the client of a request, a caller or another node, closes its
 /// connection before it is answered. Then closes the connection on which the
 /// answer is awaited, which cancels the request. Used on the thread of both
-/// connections; nothing may be read from the client while the watcher exists.
+/// connections.
 class disconnect_watcher {
  public:
+  /// Watches the connection by itself; nothing may be read from the client
+  /// while the watcher exists.
   explicit disconnect_watcher(http_connection& client);
+  /// Leaves the watching to `shared`, which must outlive the watcher.
+  disconnect_watcher(http_connection& client, client_watch& shared);
   disconnect_watcher(const disconnect_watcher&) = delete;
   disconnect_watcher& operator=(const disconnect_watcher&) = delete;
   ~disconnect_watcher();
@@ -22,22 +39,30 @@
   void Start();
 
   /// Sets the connection to close when the client disconnects; null for none.
-  void CloseOnDisconnect(http_connection* connection) {
-    shared_->connection_to_close = connection;
-  }
+  /// Closes it at once if the client has disconnected.
+  void CloseOnDisconnect(http_connection* connection);
+
+  /// The client has disconnected, or is to get no answer.
+  void Disconnect();
 
   /// Whether the client has disconnected, as far as the kernel knows now.
   bool HasClientDisconnected();
 
  private:
-  // Shared with the pending handler, which may run after the watcher is gone.
+  // Shared with the pending handler, if there is one; it may run after the
+  // watcher is gone.
   struct shared_state {
     http_connection* client = nullptr;  ///< Null once the watcher is destroyed.
     http_connection* connection_to_close = nullptr;
     bool has_disconnected = false;
+
+    void Disconnect();
   };
 
-  std::shared_ptr<shared_state> shared_ = std::make_shared<shared_state>();
+  std::shared_ptr<shared_state> shared_;  ///< Null if another watches.
+  shared_state own_;
+  shared_state& state_;  ///< One of the two.
+  client_watch* watch_ = nullptr;
   bool is_started_ = false;
 };
 
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -71,7 +71,7 @@
         target_(incoming.target),
         service_state_(worker.ServiceStateOf(target_.name)),
         upstreams_(incoming.snapshot.UpstreamsOf(target_.name)),
-        watch_(incoming.caller) {
+        watch_(incoming.caller, incoming.watch) {
     tried_.reserve(incoming.chosen_route.retry->attempts + 1);
     if (state_.is_leaving) {
       ExcludeOwnUpstream();
--- a/Libraries/LibTraffic/entry.h
+++ b/Libraries/LibTraffic/entry.h
@@ -19,6 +19,7 @@
   time_point deadline;
   time_point objective{};  ///< Zero when the route sets none.
   bool is_idempotent = false;
+  client_watch& watch;  ///< Of the caller's connection.
 };
 
 /// The result of a request over all its attempts.
--- a/Libraries/LibTraffic/http_connection.cc
+++ b/Libraries/LibTraffic/http_connection.cc
@@ -1,6 +1,7 @@
 #include "LibTraffic/http_connection.h"
 
 #include <poll.h>
+#include <sys/socket.h>
 
 namespace wagtailmount::detail {
 
@@ -24,6 +25,14 @@
          IsReadyFor(POLLIN | POLLRDHUP, stream.socket().native_handle());
 }
 
+bool http_connection::ReadAvailable(std::size_t maximum_bytes) {
+  const auto space = buffer.prepare(maximum_bytes);
+  const auto count = ::recv(stream.socket().native_handle(), space.data(),
+                            space.size(), MSG_DONTWAIT);
+  buffer.commit(count > 0 ? static_cast<std::size_t>(count) : 0);
+  return count > 0;
+}
+
 void http_connection::Close() {
   error_code ignored;
   stream.socket().close(ignored);
--- a/Libraries/LibTraffic/http_connection.h
+++ b/Libraries/LibTraffic/http_connection.h
@@ -55,6 +55,10 @@
   /// last answer. Never blocks.
   bool IsUnusable();
 
+  /// Reads what has arrived, at most `maximum_bytes`; false if nothing has.
+  /// Never blocks.
+  bool ReadAvailable(std::size_t maximum_bytes);
+
   void Close();
 
   boost::beast::tcp_stream stream;
--- a/Libraries/LibTraffic/http_message.cc
+++ b/Libraries/LibTraffic/http_message.cc
@@ -116,6 +116,15 @@
   co_return error_code{};
 }
 
+error_code ParseHeader(http_connection& connection,
+                       http_request_parser& parser) {
+  const error_code malformed = Parse(connection, parser);
+  if (parser.is_header_done()) {
+    parser.eager(true);
+  }
+  return malformed;
+}
+
 template <bool is_request>
 task<body_status> ReadBodyStart(
     http_connection& connection,
--- a/Libraries/LibTraffic/http_message.h
+++ b/Libraries/LibTraffic/http_message.h
@@ -57,6 +57,11 @@
                             http::parser<is_request, http::buffer_body>& parser,
                             std::size_t maximum_bytes = kMaximumHeaderBytes);
 
+/// Parses what the connection's buffer holds of a request's header section;
+/// reads nothing.
+error_code ParseHeader(http_connection& connection,
+                       http_request_parser& parser);
+
 /// Reads the body into `into` until it ends or kRetainedBodyBytes are held.
 template <bool is_request>
 task<body_status> ReadBodyStart(
--- a/Libraries/LibTraffic/request_reading.cc
+++ b/Libraries/LibTraffic/request_reading.cc
@@ -18,6 +18,19 @@
   co_return !failure;
 }
 
+std::optional<request_read_fault> FaultOf(error_code failure,
+                                          http_request_parser& parser) {
+  if (failure) {
+    const std::optional<request_fault> fault = FaultOfParserError(failure);
+    return request_read_fault{fault.has_value(),
+                              fault.value_or(request_fault{})};
+  }
+  if (const std::optional<request_fault> fault = ValidateRequest(parser)) {
+    return request_read_fault{true, *fault};
+  }
+  return std::nullopt;
+}
+
 }  // namespace
 
 void ConfigureParser(http_request_parser& parser,
@@ -44,16 +57,14 @@
   connection.stream.expires_after(limits.header_timeout);
   const error_code failure =
       co_await ReadHeader(connection, parser, limits.header_bytes);
-  std::optional<request_read_fault> read_fault;
-  if (failure) {
-    const std::optional<request_fault> fault = FaultOfParserError(failure);
-    read_fault =
-        request_read_fault{fault.has_value(), fault.value_or(request_fault{})};
-  } else if (const std::optional<request_fault> fault =
-                 ValidateRequest(parser)) {
-    read_fault = request_read_fault{true, *fault};
-  }
-  co_return read_fault;
+  co_return FaultOf(failure, parser);
+}
+
+std::optional<request_read_fault> ParseRequestHeader(
+    http_connection& connection, http_request_parser& parser) {
+  const error_code failure = ParseHeader(connection, parser);
+  return failure || parser.is_header_done() ? FaultOf(failure, parser)
+                                            : std::nullopt;
 }
 
 bool IsContinueExpected(http_request_parser& parser) {
--- a/Libraries/LibTraffic/request_reading.h
+++ b/Libraries/LibTraffic/request_reading.h
@@ -24,6 +24,11 @@
     http_connection& connection, http_request_parser& parser,
     const request_limits& limits);
 
+/// Parses what the connection's buffer holds of a header section, and checks it
+/// once it is complete; reads nothing.
+std::optional<request_read_fault> ParseRequestHeader(
+    http_connection& connection, http_request_parser& parser);
+
 /// Whether the sender waits for "100 Continue" before it sends a body.
 bool IsContinueExpected(http_request_parser& parser);
 
--- /dev/null
+++ b/Libraries/LibTraffic/request_start.cc
@@ -0,0 +1,33 @@
+#include "LibTraffic/request_start.h"
+
+namespace wagtailmount::detail {
+
+std::string MakeRequestId(random_source& random) {
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  constexpr std::size_t kDigitCount = 16;
+  std::uint64_t bits = random.Below(~std::uint64_t{0});
+  std::string id(kDigitCount, '0');
+  for (char& digit : id) {
+    digit = kDigits[bits % kDigits.size()];
+    bits /= kDigits.size();
+  }
+  return id;
+}
+
+const service& ChooseTargetByWeight(const route& chosen,
+                                    random_source& random) {
+  std::uint64_t total_weight = 0;
+  for (const route_part& part : chosen.parts) {
+    total_weight += part.weight;
+  }
+  std::uint64_t remaining_weight = random.Below(total_weight);
+  for (const route_part& part : chosen.parts) {
+    if (remaining_weight < part.weight) {
+      return *part.target;
+    }
+    remaining_weight -= part.weight;
+  }
+  return *chosen.target;
+}
+
+}  // namespace wagtailmount::detail
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -63,6 +63,14 @@
   std::uint64_t refused_quarantined = 0;
   /// Kept connections of callers ended early, to save descriptors.
   std::uint64_t closed_crowded = 0;
+  /// Read while others on their connection were not answered, and served
+  /// beside them.
+  std::uint64_t pipelined_requests = 0;
+  /// Those of them cancelled, because an answer before theirs closed the
+  /// connection or the caller left.
+  std::uint64_t pipelined_cancelled = 0;
+  /// Bytes of answers that wait for others on their connection, now.
+  std::uint64_t pipelined_waiting_bytes = 0;
   std::uint64_t caller_connections = 0;  ///< Current number, not a total.
   std::uint64_t in_flight = 0;           ///< Current number, not a total.
 };
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -38,6 +38,9 @@
   std::atomic<std::uint64_t> backend_crashes{0};
   std::atomic<std::uint64_t> refused_quarantined{0};
   std::atomic<std::uint64_t> closed_crowded{0};
+  std::atomic<std::uint64_t> pipelined_requests{0};
+  std::atomic<std::uint64_t> pipelined_cancelled{0};
+  std::atomic<std::uint64_t> pipelined_waiting_bytes{0};
   std::atomic<std::uint64_t> caller_connections{0};
   std::atomic<std::uint64_t> in_flight{0};
 
--- a/Tests/LibTraffic/fake_backend_server.h
+++ b/Tests/LibTraffic/fake_backend_server.h
@@ -61,6 +61,8 @@
   int Connections() const { return connections_; }
   int PeakConnections() const { return peak_connections_; }
   int PeakRunning() const { return peak_running_; }
+  /// How many requests it works on now.
+  int Running() const { return running_; }
   /// The request line and header of the last request, as received.
   std::string LastRequestHead() const;
   void ReleaseWaitingRequests();
--- a/Tests/LibTraffic/test_request_path.cc
+++ b/Tests/LibTraffic/test_request_path.cc
@@ -7,6 +7,7 @@
 
 using wagtailmount::endpoint;
 using wagtailmount::testing::Call;
+using wagtailmount::testing::fixture_options;
 using wagtailmount::testing::test_caller;
 using wagtailmount::testing::traffic_fixture;
 
@@ -111,8 +112,12 @@
   }
 }
 
+// The backend server runs one request at a time, so one connection to it is
+// enough.
 BOOST_AUTO_TEST_CASE(PipelinedRequestsShareOneConnection) {
-  traffic_fixture fixture{1};
+  fixture_options options;
+  options.limits.slots = 1;
+  traffic_fixture fixture{1, options};
   fixture.Publish();
   test_caller caller{fixture.Entry().caller_address};
   const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
