Tests/Soak, docs: Let callers pipeline, and judge the order of answers

A tenth of the soak's requests come six at a time on one connection. The judge compares the X-Request-Id of each answer, of refusals too, with the request that it stands for, and lets a request behind a closing answer go unread.

--- a/Tests/Soak/soak_callers.py
+++ b/Tests/Soak/soak_callers.py
@@ -4,10 +4,13 @@
 import http.client
 import random
 import select
+import socket
 import threading
 import time
 
 DEADLINE_SECONDS = 1.5
+PIPELINING_SHARE = 0.1
+PIPELINED_REQUESTS = 6
 KINDS = (("GET", "/balance/7"), ("POST", "/posting/7"), ("GET", "/history/7"))
 
 
@@ -27,6 +30,8 @@
     is_leaving_stated: bool = False
     failure: str = ""
     is_kept: bool = False  # Sent on a connection that had carried others.
+    is_behind: bool = False  # Sent behind another that was not answered yet.
+    answer_id: str = ""  # The request that the answer names.
 
 
 class Callers:
@@ -53,6 +58,10 @@
         count = 0
         while not self._is_stopped.is_set():
             count += 1
+            if chance.random() < PIPELINING_SHARE:
+                ids = [f"{node.number}.{seed}.{count}p{number}" for number in range(PIPELINED_REQUESTS)]
+                self.attempts.extend(send_pipelined(node, "/balance/7", ids))
+                continue
             method, path = KINDS[chance.randrange(len(KINDS))]
             if chance.random() < 0.1:
                 method, path = "GET", f"/version-{self.fleet.version}/"
@@ -78,13 +87,7 @@
         connection.request(method, path, body, {
             "Host": "mesh.example", "X-Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)), "X-Request-Id": request_id})
         answer = connection.getresponse()
-        got = answer.read()
-        attempt.status = answer.status
-        attempt.stamp = answer.getheader("X-Response-Stamp", "")
-        attempt.is_own = got == f"{request_id} of {body or ''}".encode() and (
-            answer.getheader("X-Request-Id") == request_id)
-        attempt.is_limit_named = answer.getheader("Server-Limit") is not None
-        attempt.is_leaving_stated = answer.getheader("Server-Leaving") is not None
+        note_answer(attempt, answer, body)
         if answer.will_close:
             connection.close()
             connection = None
@@ -94,3 +97,55 @@
         connection = None
     attempt.ended = time.monotonic()
     return attempt, connection
+
+
+def note_answer(attempt, answer, body=None):
+    got = answer.read()
+    attempt.status = answer.status
+    attempt.stamp = answer.getheader("X-Response-Stamp", "")
+    attempt.answer_id = answer.getheader("X-Request-Id", "")
+    attempt.is_own = got == f"{attempt.request_id} of {body or ''}".encode() and (
+        attempt.answer_id == attempt.request_id)
+    attempt.is_limit_named = answer.getheader("Server-Limit") is not None
+    attempt.is_leaving_stated = answer.getheader("Server-Leaving") is not None
+
+
+class SharedReader:
+    """Lets several answers be read from one socket: each of them would close it."""
+
+    def __init__(self, connection):
+        self._file = connection.makefile("rb")
+
+    def makefile(self, _mode):
+        return self
+
+    def close(self):
+        pass
+
+    def __getattr__(self, name):
+        return getattr(self._file, name)
+
+
+def send_pipelined(node, path, request_ids):
+    """Sends lookups at once on a connection of their own; returns how each ended."""
+    attempts = [Attempt(each, "GET", node.number, time.monotonic(), path, is_behind=each != request_ids[0])
+                for each in request_ids]
+    text = "".join(f"GET {path} HTTP/1.1\r\nHost: mesh.example\r\nX-Deadline-Ms: {int(DEADLINE_SECONDS * 1000)}\r\n"
+                   f"X-Request-Id: {each}\r\n\r\n" for each in request_ids)
+    current = 0
+    try:
+        with socket.create_connection((node.vm, int(node.ports["caller"])), timeout=4) as connection:
+            connection.sendall(text.encode())
+            reader = SharedReader(connection)
+            for current, attempt in enumerate(attempts):
+                answer = http.client.HTTPResponse(reader, method="GET")
+                answer.begin()
+                note_answer(attempt, answer)
+                attempt.ended = time.monotonic()
+                if answer.getheader("Connection", "").lower() == "close":
+                    raise ConnectionResetError
+    except (OSError, http.client.HTTPException) as failure:
+        for attempt in attempts[current:]:
+            attempt.failure = attempt.failure if attempt.status else type(failure).__name__
+            attempt.ended = attempt.ended or time.monotonic()
+    return attempts
--- a/Tests/Soak/soak_judge.py
+++ b/Tests/Soak/soak_judge.py
@@ -76,6 +76,13 @@
             yield f"MIXED: {each.request_id} got an answer of {each.stamp}, which did not run it"
 
 
+def ordered(record):
+    """Answers on a connection come in the order of its requests, refusals too."""
+    for each in record.attempts:
+        if each.answer_id and each.answer_id != each.request_id:
+            yield f"MIXED: {each.request_id} got the answer to {each.answer_id}"
+
+
 def drained(record):
     """By the platform's acknowledgement, for calm nodes; by the answers that a node passed on, for all."""
     told = told_at(record, "is_leaving_stated")
@@ -161,6 +168,9 @@
         others = [other for other in record.disturbances if other not in planned and other.kind != "store-front"
                   and other.overlaps(each.sent - CONTACT_SECONDS, each.ended)]
         runs = record.runs.get(each.request_id)
+        # Behind an answer that closes the connection, a request counts as not read.
+        if each.is_behind and not runs:
+            continue
         # A request that crosses the close of its connection was not read.
         if not others and (runs or each.ended - each.sent > LOSS_SLACK_SECONDS):
             yield (f"LOST: {each.request_id} at node {each.node} ended with {each.failure} after "
@@ -211,7 +221,7 @@
             yield f"RECOVER: node {node} served {served} of {len(own)} requests at the end"
 
 
-PROMISES = (twice, refused, mixed, drained, limited, configured, lost, held, outlived, crashed)
+PROMISES = (twice, refused, mixed, ordered, drained, limited, configured, lost, held, outlived, crashed)
 
 
 def breaches(record, calm_from):
--- a/Tests/Soak/test_soak_judge.py
+++ b/Tests/Soak/test_soak_judge.py
@@ -56,6 +56,24 @@
         self.backends[1].runs.append(("post", 20.2))
         self.check("TWICE")
 
+    def test_pipelined_answers_in_order(self):
+        for request_id in ("p0", "p1"):
+            self.serve(request_id, answer_id=request_id, is_behind=request_id != "p0")
+        self.check()
+
+    def test_pipelined_answers_out_of_order(self):
+        self.serve("p0", answer_id="p1", status=503, is_own=False)
+        self.check("MIXED")
+
+    def test_a_pipelined_request_behind_a_close_may_be_unread(self):
+        self.attempts.append(Attempt("p1", "GET", 0, 20.0, path="/balance/7", ended=20.9,
+                                     failure="ConnectionResetError", is_behind=True))
+        self.check()
+
+    def test_a_pipelined_request_that_ran_is_answered(self):
+        self.serve("p1", status=0, stamp="", failure="ConnectionResetError", is_behind=True)
+        self.check("LOST")
+
     def test_a_lookup_may_run_twice(self):
         self.serve("get")
         self.backends[1].runs.append(("get", 20.2))
