--- a/Libraries/LibNode/metrics_text.cc
+++ b/Libraries/LibNode/metrics_text.cc
@@ -12,7 +12,7 @@
   std::uint64_t traffic_counters::*value;
 };
 
-constexpr std::array<named_counter, 21> kTrafficCounters{{
+constexpr std::array<named_counter, 22> kTrafficCounters{{
     {"requests_total", &traffic_counters::requests},
     {"answered_ran_total", &traffic_counters::answered_ran},
     {"answered_may_have_run_total", &traffic_counters::answered_may_have_run},
