LibConfig, LibMembership, LibNode, wagtailctl: Evacuate a failure domain by the folder

Cause: only the catalog interface knew evacuations.

Change: files of the folder have a section evacuations, owned and overridden as the others.

--- a/Libraries/LibAdmin/event_log.cc
+++ b/Libraries/LibAdmin/event_log.cc
@@ -26,6 +26,8 @@
       return "pause";
     case event_kind::kDrain:
       return "drain";
+    case event_kind::kEvacuation:
+      return "evacuation";
     case event_kind::kConflict:
       return "conflict";
   }
--- a/Libraries/LibAdmin/event_log.h
+++ b/Libraries/LibAdmin/event_log.h
@@ -23,6 +23,7 @@
   kMembership,  ///< A VM's state changed.
   kPause,       ///< The process did not run for a while.
   kDrain,       ///< A planned stop moved on.
+  kEvacuation,  ///< An evacuation of a failure domain began or ended.
   kConflict,    ///< Two versions of one revision, or a version gone back.
 };
 
--- a/Libraries/LibConfig/acceptance.cc
+++ b/Libraries/LibConfig/acceptance.cc
@@ -46,21 +46,24 @@
   return are_readable;
 }
 
-std::vector<std::shared_ptr<const service>> ServicesOf(
-    const detail::entry_tables& tables, const configuration& before) {
-  const auto& entries = tables.Of(entry_kind::kService);
-  if (entries == before.Record()->tables.Of(entry_kind::kService)) {
-    return {before.Services().begin(), before.Services().end()};
+/// The entries of one kind that are in force; those before if none changed.
+template <typename T>
+std::vector<std::shared_ptr<const T>> EntriesOf(
+    entry_kind kind, const detail::entry_tables& tables,
+    const configuration& before,
+    std::span<const std::shared_ptr<const T>> known) {
+  const auto& entries = tables.Of(kind);
+  if (entries == before.Record()->tables.Of(kind)) {
+    return {known.begin(), known.end()};
   }
-  std::vector<std::shared_ptr<const service>> services;
-  services.reserve(entries.size());
+  std::vector<std::shared_ptr<const T>> in_force;
+  in_force.reserve(entries.size());
   for (const auto& entry : entries) {
     if (!entry->IsRemoved()) {
-      services.push_back(
-          std::get<std::shared_ptr<const service>>(entry->value));
+      in_force.push_back(std::get<std::shared_ptr<const T>>(entry->value));
     }
   }
-  return services;
+  return in_force;
 }
 
 /// The files of the new version. Unchanged files share their content with the
@@ -139,7 +142,10 @@
   }
 
   parts.files = FilesOf(ordered, positions, before.Files());
-  parts.services = ServicesOf(merged.tables, before);
+  parts.services =
+      EntriesOf(entry_kind::kService, merged.tables, before, before.Services());
+  parts.evacuations = EntriesOf(entry_kind::kEvacuation, merged.tables, before,
+                                before.Evacuations());
   parts.record = std::make_shared<const acceptance_record>(
       acceptance_record{std::move(folder.files), std::move(merged.tables),
                         std::move(built.table)});
--- a/Libraries/LibConfig/configuration.h
+++ b/Libraries/LibConfig/configuration.h
@@ -99,6 +99,15 @@
   bool operator==(const service&) const = default;
 };
 
+/// Asks that no request be sent to the backend servers of a failure domain
+/// while the entry exists.
+struct evacuation {
+  std::string name;  ///< The failure domain.
+  std::string team;  ///< As of a service.
+
+  bool operator==(const evacuation&) const = default;
+};
+
 /// A resource that limits the retries of requests.
 struct retry_policy {
   std::string name;
@@ -183,6 +192,8 @@
     std::vector<manifest_entry> manifest;                  ///< In name order.
     std::vector<config_file> files;                        ///< In name order.
     std::vector<std::shared_ptr<const service>> services;  ///< In name order.
+    std::vector<std::shared_ptr<const evacuation>>
+        evacuations;                                   ///< In name order.
     std::vector<std::shared_ptr<const route>> routes;  ///< Most specific first.
     request_limits limits;
     /// What was accepted although its meaning is not known, with its path.
@@ -205,6 +216,10 @@
   std::span<const std::shared_ptr<const route>> Routes() const {
     return parts_.routes;
   }
+  /// Empty if the platform has evacuations of its own.
+  std::span<const std::shared_ptr<const evacuation>> Evacuations() const {
+    return parts_.evacuations;
+  }
   const request_limits& Limits() const { return parts_.limits; }
   std::span<const std::string> Warnings() const { return parts_.warnings; }
 
--- a/Libraries/LibConfig/declaration.cc
+++ b/Libraries/LibConfig/declaration.cc
@@ -4,7 +4,7 @@
 
 std::string_view SectionOf(entry_kind kind) {
   constexpr std::array<std::string_view, kEntryKinds> kSections{
-      "services", "resources", "routes"};
+      "services", "resources", "routes", "evacuations"};
   return kSections[static_cast<std::size_t>(kind)];
 }
 
--- a/Libraries/LibConfig/declaration.h
+++ b/Libraries/LibConfig/declaration.h
@@ -16,11 +16,17 @@
 
 /// The kind of an entry, one for each section of a file. Names are unique
 /// within a kind only.
-enum class entry_kind : std::uint8_t { kService, kResource, kRoute };
+enum class entry_kind : std::uint8_t {
+  kService,
+  kResource,
+  kRoute,
+  kEvacuation
+};
 
-inline constexpr std::size_t kEntryKinds = 3;
+inline constexpr std::size_t kEntryKinds = 4;
 
-/// The key of a section in a file: "services", "resources", "routes".
+/// The key of a section in a file: "services", "resources", "routes",
+/// "evacuations".
 std::string_view SectionOf(entry_kind kind);
 
 /// A route as a file declares it. Its references to service and resources are
@@ -36,10 +42,10 @@
 
 /// The value of a declaration: monostate if it removes the entry, a null
 /// pointer if it could not be parsed.
-using entry_value = std::variant<std::monostate, std::shared_ptr<const service>,
-                                 std::shared_ptr<const retry_policy>,
-                                 std::shared_ptr<const header_set>,
-                                 std::shared_ptr<const unresolved_route>>;
+using entry_value = std::variant<
+    std::monostate, std::shared_ptr<const service>,
+    std::shared_ptr<const retry_policy>, std::shared_ptr<const header_set>,
+    std::shared_ptr<const unresolved_route>, std::shared_ptr<const evacuation>>;
 
 /// One entry as declared in one file.
 struct declaration {
--- a/Libraries/LibConfig/difference.cc
+++ b/Libraries/LibConfig/difference.cc
@@ -97,6 +97,8 @@
           {"deadline_ms", ToText(each.deadline)}};
 }
 
+field_texts FieldsOf(const evacuation& each) { return {{"team", each.team}}; }
+
 std::vector<field_difference> CompareFields(const field_texts& before,
                                             const field_texts& after) {
   std::vector<field_difference> differences;
@@ -186,6 +188,8 @@
   std::vector<entry_difference> differences;
   CompareSection("services", before.Services(), after.Services(), differences);
   CompareSection("routes", before.Routes(), after.Routes(), differences);
+  CompareSection("evacuations", before.Evacuations(), after.Evacuations(),
+                 differences);
   return differences;
 }
 
--- a/Libraries/LibConfig/entry_parsers.h
+++ b/Libraries/LibConfig/entry_parsers.h
@@ -18,6 +18,9 @@
 entry_value ParseResource(std::string_view name, std::string_view team,
                           json_object_reader& reader);
 
+entry_value ParseEvacuation(std::string_view name, std::string_view team,
+                            json_object_reader& reader);
+
 entry_value ParseRoute(std::string_view name, std::string_view team,
                        json_object_reader& reader);
 
--- a/Libraries/LibConfig/entry_table.cc
+++ b/Libraries/LibConfig/entry_table.cc
@@ -100,6 +100,12 @@
     owned->settings.team = owner;
     return std::shared_ptr<const unresolved_route>(std::move(owned));
   }
+  if (const auto* held = std::get_if<std::shared_ptr<const evacuation>>(&value);
+      held != nullptr && *held != nullptr) {
+    auto owned = std::make_shared<evacuation>(**held);
+    owned->team = owner;
+    return std::shared_ptr<const evacuation>(std::move(owned));
+  }
   return value;
 }
 
--- a/Libraries/LibConfig/file_parser.cc
+++ b/Libraries/LibConfig/file_parser.cc
@@ -28,6 +28,7 @@
     {entry_kind::kService, ParseService},
     {entry_kind::kResource, ParseResource},
     {entry_kind::kRoute, ParseRoute},
+    {entry_kind::kEvacuation, ParseEvacuation},
 }};
 
 /// The first reason not to parse the file, or nullopt.
--- a/Libraries/LibMembership/membership.h
+++ b/Libraries/LibMembership/membership.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -179,6 +180,14 @@
   std::shared_ptr<const service_upstreams> UpstreamsOf(
       std::string_view service) const;
 
+  /// Sets the failure domains whose upstreams are evacuated.
+  membership_effects SetEvacuated(std::set<std::string> failure_domains);
+
+  /// Whether this node knows a VM there, gone ones included.
+  bool IsFailureDomainKnown(std::string_view failure_domain) const {
+    return domains_.contains(failure_domain);
+  }
+
   /// Returns UpstreamsOf() for every service with a known VM, sorted by name.
   std::vector<std::shared_ptr<const service_upstreams>> AllUpstreams() const;
 
@@ -236,6 +245,7 @@
   std::vector<entry*> watched_;
   std::deque<entry*> gone_;  ///< Tombstones, oldest `gone_since` first.
   std::deque<entry*> delta_;
+  std::set<std::string> evacuated_;
   std::size_t size_ = 0;
   record_set_hash hash_;
   std::uint64_t list_revision_ = 0;
--- a/Libraries/LibMembership/membership_upstreams.cc
+++ b/Libraries/LibMembership/membership_upstreams.cc
@@ -54,16 +54,27 @@
       continue;
     }
     const vm_record& record = member->record;
-    result->upstreams.push_back({record.vm, record.failure_domain,
-                                 record.region, record.hop, record.incarnation,
-                                 record.state == vm_state::kLeaving,
-                                 IsSuspect(*member),
-                                 /*backend_server_id=*/{},
-                                 /*is_evacuated=*/false});
+    result->upstreams.push_back(
+        {record.vm, record.failure_domain, record.region, record.hop,
+         record.incarnation, record.state == vm_state::kLeaving,
+         IsSuspect(*member),
+         /*backend_server_id=*/{}, evacuated_.contains(record.failure_domain)});
   }
   return result;
 }
 
+membership_effects membership::SetEvacuated(
+    std::set<std::string> failure_domains) {
+  if (evacuated_ != failure_domains) {
+    evacuated_ = std::move(failure_domains);
+    for (const auto& [service, group] : services_) {
+      group->cached_upstreams = nullptr;
+    }
+    effects_.upstreams_changed = true;
+  }
+  return TakeEffects();
+}
+
 std::shared_ptr<const service_upstreams> membership::UpstreamsOf(
     std::string_view service) const {
   const auto found = services_.find(service);
--- a/Libraries/LibNode/control_plane.cc
+++ b/Libraries/LibNode/control_plane.cc
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace wagtailmount {
@@ -238,7 +239,46 @@
   }
   is_snapshot_due_ = false;
   publish_(std::make_shared<const routing_snapshot>(
-      held, membership_.AllUpstreams()));
+      held, membership_.AllUpstreams(), OwnBackendServer(*held)));
+}
+
+// Nothing while the own failure domain was never evacuated: then the settings
+// tell all that is needed.
+std::optional<own_backend_server> control_plane::OwnBackendServer(
+    const configuration& held) const {
+  own_backend_server own;
+  own.evacuated_since = evacuations_.Since(settings_.failure_domain);
+  own.evacuation_ended_at = evacuations_.EndedAt(settings_.failure_domain);
+  if (own.evacuated_since == time_point{} &&
+      own.evacuation_ended_at == time_point{}) {
+    return std::nullopt;
+  }
+  own.service = settings_.service;
+  if (const auto declared = held.FindService(settings_.service)) {
+    own.limits = declared->limits;
+  }
+  own.fleet_size =
+      static_cast<std::uint32_t>(std::max<std::size_t>(1, membership_.Size()));
+  return own;
+}
+
+void control_plane::ApplyEvacuations(const configuration& in_force) {
+  std::set<std::string> asked_for;
+  for (const auto& each : in_force.Evacuations()) {
+    asked_for.insert(each->name);
+  }
+  for (const auto& change : evacuations_.Update(clock_.Now(), asked_for)) {
+    const bool is_known =
+        change.failure_domain == settings_.failure_domain ||
+        membership_.IsFailureDomainKnown(change.failure_domain);
+    const std::string text = "evacuation of failure domain " +
+                             change.failure_domain +
+                             (change.has_begun ? " begins" : " ends") +
+                             (is_known ? "" : "; no VM there is known");
+    LOG(INFO) << text;
+    events_.Add(event_kind::kEvacuation, in_force.Version().revision, text);
+  }
+  Apply(membership_.SetEvacuated(std::move(asked_for)), "");
 }
 
 void control_plane::BeginDrain() {
@@ -295,6 +335,7 @@
                            DescribeSource(effect.from_peer, effect.hops);
   LOG(INFO) << "version in force: " << text;
   events_.Add(event_kind::kInForce, version.revision, text);
+  ApplyEvacuations(*effect.version);
   is_snapshot_due_ = true;
 }
 
--- a/Libraries/LibNode/control_plane.h
+++ b/Libraries/LibNode/control_plane.h
@@ -19,6 +19,7 @@
 #include "LibNode/crash_report_relay.h"
 #include "LibNode/peer_links.h"
 #include "LibNode/settings.h"
+#include "LibRouting/evacuation_table.h"
 #include "LibRouting/routing_snapshot.h"
 #include "LibSource/folder_reader.h"
 #include "LibSource/reader_selection.h"
@@ -130,6 +131,9 @@
   void OnPeerMessage(const std::string& peer_vm,
                      const message& content) override;
 
+  /// The failure domains that are evacuated.
+  const evacuation_table& Evacuations() const { return evacuations_; }
+
  private:
   folder_reader::callbacks MakeReaderCallbacks();
   void ApplyVmList(std::span<const vm_record> list, std::uint64_t revision);
@@ -143,6 +147,9 @@
   void ChoosePeers();
   void SendMembershipDelta(std::size_t maximum);
   void PublishIfChanged();
+  void ApplyEvacuations(const configuration& in_force);
+  std::optional<own_backend_server> OwnBackendServer(
+      const configuration& held) const;
 
   void Apply(const spread_effects& effects);
   void ApplyEffect(const send_effect& effect);
@@ -167,6 +174,7 @@
   random_source random_;
   event_log events_;
   class membership membership_;
+  evacuation_table evacuations_;
   class spreader spreader_;
   join_gate join_gate_;
   read_budget read_budget_;
--- a/Libraries/LibNode/control_report.cc
+++ b/Libraries/LibNode/control_report.cc
@@ -121,6 +121,7 @@
       {"source_age_ms", source_age ? json(source_age->count()) : json(nullptr)},
       {"reader", ReportReader(control)},
       {"vms", control.Membership().Size()},
+      {"evacuated_failure_domains", control.Evacuations().Names()},
       {"peers", control.PeerLinks().Peers().size()},
       {"last_event", control.Events().LastSequence()}};
 }
@@ -159,7 +160,8 @@
                            {"hop", shown.hop.ToText()},
                            {"incarnation", shown.incarnation},
                            {"leaving", shown.is_leaving},
-                           {"suspect", shown.is_suspect}});
+                           {"suspect", shown.is_suspect},
+                           {"evacuated", shown.is_evacuated}});
     }
     services.push_back(
         {{"service", service->service}, {"upstreams", std::move(upstreams)}});
--- a/Programs/wagtailctl/command_check.cc
+++ b/Programs/wagtailctl/command_check.cc
@@ -28,6 +28,7 @@
           {"digest", accepted.Version().content.ToHex()},
           {"files", accepted.Files().size()},
           {"services", accepted.Services().size()},
+          {"evacuations", accepted.Evacuations().size()},
           {"routes", accepted.Routes().size()}};
 }
 
@@ -46,6 +47,9 @@
   out << "accepted " << accepted.Version().content.ToHex() << "\n"
       << accepted.Files().size() << " files, " << accepted.Services().size()
       << " services, " << accepted.Routes().size() << " routes\n";
+  for (const auto& each : accepted.Evacuations()) {
+    out << "evacuates failure domain " << each->name << "\n";
+  }
 }
 
 }  // namespace
--- a/Programs/wagtailctl/command_status.cc
+++ b/Programs/wagtailctl/command_status.cc
@@ -51,6 +51,11 @@
       << std::setw(kDigestWidth)
       << TextOrDash(held, "digest").substr(0, kShortDigest)
       << TextOrDash(held, "from") << "\n";
+  const nlohmann::json evacuated =
+      status.value("evacuated_failure_domains", nlohmann::json::array());
+  if (!evacuated.empty()) {
+    out << "  evacuated failure domains: " << evacuated.dump() << "\n";
+  }
 }
 
 }  // namespace
--- a/Programs/wagtailctl/explanation.cc
+++ b/Programs/wagtailctl/explanation.cc
@@ -54,6 +54,16 @@
                           : " This node does not read from the platform.");
 }
 
+std::string ExplainEvacuations(const json& names) {
+  std::string sentence = "No request starts at a backend server in";
+  std::string separator = " ";
+  for (const auto& name : names) {
+    sentence += separator + name.get<std::string>();
+    separator = ", ";
+  }
+  return sentence + ": evacuated.";
+}
+
 struct choice_phrase {
   std::string_view word;
   std::string_view phrase;
@@ -126,6 +136,11 @@
                         " but has not received it whole yet.");
   }
   sentences.push_back(ExplainPlatform(facts.status));
+  const json evacuated =
+      facts.status.value("evacuated_failure_domains", json::array());
+  if (!evacuated.empty()) {
+    sentences.push_back(ExplainEvacuations(evacuated));
+  }
   return sentences;
 }
 
--- a/Tests/LibMembership/test_membership.cc
+++ b/Tests/LibMembership/test_membership.cc
@@ -362,6 +362,20 @@
   BOOST_TEST(detector.Pauses() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(AnEvacuationMarksTheUpstreamsOfItsFailureDomainOnly) {
+  membership_fixture fixture;
+  fixture.Announce(Vm("a"));
+  fixture.Announce(Vm("b", "lhr-hall"));
+  BOOST_TEST(fixture.table.SetEvacuated({"lhr-hall"}).upstreams_changed);
+  BOOST_TEST(!fixture.UpstreamAt("a")->is_evacuated);
+  BOOST_TEST(fixture.UpstreamAt("b")->is_evacuated);
+  fixture.Announce(Vm("c", "lhr-hall"));
+  BOOST_TEST(fixture.UpstreamAt("c")->is_evacuated);
+  BOOST_TEST(!fixture.table.SetEvacuated({"lhr-hall"}).upstreams_changed);
+  fixture.table.SetEvacuated({});
+  BOOST_TEST(!fixture.UpstreamAt("b")->is_evacuated);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace wagtailmount
--- a/Tests/wagtailctl/test_offline_commands.cc
+++ b/Tests/wagtailctl/test_offline_commands.cc
@@ -84,6 +84,30 @@
   BOOST_TEST(Run({"diff", shipped, "/does/not/exist"}).status == 2);
 }
 
+BOOST_AUTO_TEST_CASE(AnEvacuationIsCheckedAndShownAsADifference) {
+  const scratch_folder before;
+  before.CopyFrom(kExamples / "qureshi" / "config");
+  const scratch_folder after;
+  after.CopyFrom(kExamples / "qureshi" / "config");
+  after.Write("50-more.json",
+              R"({"team": "platform", "evacuations": {"fsd-hall": {}}})");
+  const auto checked = Run({"check", after.Name()});
+  BOOST_TEST(checked.status == 0, checked.out);
+  BOOST_TEST(checked.out.ends_with("evacuates failure domain fsd-hall\n"));
+  const auto compared = Run({"diff", before.Name(), after.Name()});
+  BOOST_TEST(compared.out.starts_with("added evacuations.fsd-hall\n"),
+             compared.out);
+  const auto reversed = Run({"diff", after.Name(), before.Name()});
+  BOOST_TEST(reversed.out.starts_with("removed evacuations.fsd-hall\n"),
+             reversed.out);
+  after.Write("50-more.json",
+              R"({"team": "platform", "evacuations": {"fsd-hall": {"x": 1}}})");
+  const auto refused = Run({"check", after.Name()});
+  BOOST_TEST(refused.status == 1);
+  BOOST_TEST(refused.out.find("$.evacuations.fsd-hall") != std::string::npos,
+             refused.out);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace wagtailmount
