LibLoad: Don't trust the first registration that a process reads

Cause: after a power loss of all VMs, a node read the registration that the start before had written, took its backend server to be warm, and sent it 37 requests in a second where 30.5 are allowed.

Change: only a registration read half a second after the start of the process ends the doubt of its own start. The tests over the real path wait for that long first.

--- a/Libraries/LibLoad/cold_start_judge.cc
+++ b/Libraries/LibLoad/cold_start_judge.cc
@@ -58,12 +58,12 @@
   if (registered.stated_at > registration_stated_at_) {
     registration_stated_at_ = registered.stated_at;
     stated_until_ = registered.stated_at + registered.remaining;
-    // A start writes its registration itself, so nothing earlier is in it.
-    const bool is_of_this_start =
-        is_new_start &&
-        (doubt_ == cold_sign::kNewStart || doubt_ == cold_sign::kOwnStart);
-    EndDoubtsBefore(
-        is_of_this_start ? now : registered.stated_at - kRegistrationDelay);
+    // A start writes its registration itself, so nothing earlier is in it. The
+    // first one that this process reads may be that of a start before: both may
+    // have lost power.
+    EndDoubtsBefore(is_new_start && doubt_ == cold_sign::kNewStart
+                        ? now
+                        : registered.stated_at - kRegistrationDelay);
   }
   // Looked at last: no statement read together with the end is newer than it.
   if (registered.evacuation_ended_at > evacuation_ended_at_) {
--- a/Tests/LibLoad/test_cold_start.cc
+++ b/Tests/LibLoad/test_cold_start.cc
@@ -367,7 +367,7 @@
   cold_start_judge fresh{clock.Now()};
   fresh.SetPeriod(kPeriod);
   BOOST_TEST((fresh.SignAt(clock.Now()) == cold_sign::kOwnStart));
-  clock.Advance(milliseconds{100});
+  clock.Advance(milliseconds{600});
   fresh.Register(clock.Now(), {.incarnation = 7,
                                .remaining = milliseconds{0},
                                .stated_at = clock.Now(),
@@ -375,6 +375,25 @@
   BOOST_TEST((fresh.SignAt(clock.Now()) == cold_sign::kNone));
 }
 
+// The VM lost power: the platform still holds what the start before wrote.
+BOOST_AUTO_TEST_CASE(ARegistrationFromBeforeAPowerLossEndsNoDoubt) {
+  cold_start_judge fresh{clock.Now()};
+  fresh.SetPeriod(kPeriod);
+  clock.Advance(milliseconds{100});
+  fresh.Register(clock.Now(), {.incarnation = 7,
+                               .remaining = milliseconds{0},
+                               .stated_at = clock.Now(),
+                               .evacuation_ended_at = {}});
+  BOOST_TEST((fresh.SignAt(clock.Now()) == cold_sign::kOwnStart));
+  clock.Advance(milliseconds{300});
+  fresh.Register(clock.Now(), {.incarnation = 8,
+                               .remaining = milliseconds{2'500},
+                               .stated_at = clock.Now(),
+                               .evacuation_ended_at = {}});
+  clock.Advance(milliseconds{2'499});
+  BOOST_TEST((fresh.SignAt(clock.Now()) == cold_sign::kStated));
+}
+
 BOOST_AUTO_TEST_CASE(ANewProcessThatIsNeverToldAssumesTheWorstForThePeriod) {
   cold_start_judge fresh{clock.Now()};
   fresh.SetPeriod(kPeriod);
