LibLoad: Turn away what costs callers least

Within a rank an owner started requests in the order of arrival, so short calls with little time left waited behind long postings and were refused; a full queue gave up the newest; a later rank could get nothing at all.

Requests now start in the order in which they must; where too little room is left, the longest work in the way is given up (Moore and Hodgson), a full queue gives up what costs least, and each kind keeps a floor of 0.3 of the overall share, never above that of a kind of an earlier rank.

--- a/Libraries/LibLoad/admission_controller.cc
+++ b/Libraries/LibLoad/admission_controller.cc
@@ -19,12 +19,11 @@
 constexpr int kShortLateWaitDivisor = 6;
 /// The longer wait is allowed from this share of started late requests.
 constexpr double kLongLateWaitShare = 0.5;
-/// The newest start weighs 1/32 in the share of its rank: some tenths of a
-/// second of starts at a busy owner.
-constexpr double kShareOfStartsDivisor = 32.0;
 /// At least this part of the starts is taken to be left to a rank, since the
 /// share of the others is an estimate.
 constexpr double kMinimumShareLeft = 0.1;
+/// So many requests are given up for one that arrives, at most.
+constexpr int kMaximumGivenUp = 2;
 /// The newest late request weighs 1/16 in that share.
 constexpr double kStartedShareDivisor = 16.0;
 
@@ -53,14 +52,6 @@
   return std::min(limits_.slots, limits_.connections);
 }
 
-std::size_t admission_controller::Queued() const {
-  std::size_t count = 0;
-  for (const auto& [key, queue] : waiting_) {
-    count += queue.size();
-  }
-  return count;
-}
-
 // The slot that is freed next has run for a part of this, and the next start
 // there takes its place in the count of the work ahead.
 duration admission_controller::MeanWorkOfRunning(time_point now) const {
@@ -82,45 +73,60 @@
   return service == duration::zero() ? durations_.OfAll() : service;
 }
 
+// Requests that arrive meanwhile and start first take the rest.
+double admission_controller::ShareLeft(const line_place& place,
+                                       request_kind kind,
+                                       duration longest_wait) const {
+  // Late requests start after those of their rank that are on time, but are
+  // not refused for those that have yet to arrive.
+  const double share_ahead =
+      place.is_ordinary
+          ? room_.ShareAhead(place.rank, kind,
+                             place.is_late ? duration::zero() : longest_wait)
+          : 0.0;
+  return std::max(kMinimumShareLeft, 1.0 - share_ahead);
+}
+
 duration admission_controller::ExpectedWait(time_point now,
-                                            queue_key key) const {
-  duration work = MeanWorkOfRunning(now);
-  std::size_t ahead = 0;
-  for (const auto& [other, queue] : waiting_) {
-    if (other <= key) {
-      for (const waiting_request& each : queue) {
-        work += each.work;
-      }
-      ahead += queue.size();
-    }
-  }
-  const duration wait_for_rate = rate_.TimeUntil(now, ahead + 1);
+                                            const line_place& place,
+                                            request_kind kind,
+                                            duration longest_wait) const {
+  const duration work = MeanWorkOfRunning(now) + waiting_.WorkAhead(place);
+  const duration wait_for_rate =
+      rate_.TimeUntil(now, waiting_.CountAhead(place) + 1);
   const bool is_slot_free =
-      running_.size() < Slots() && (Queued() == 0 || rate_.Rate());
+      running_.size() < Slots() && (waiting_.empty() || rate_.Rate());
   const duration wait_for_slot =
       is_slot_free
           ? duration::zero()
           : work / static_cast<std::int64_t>(std::max<std::size_t>(1, Slots()));
-  // Requests of earlier ranks that arrive meanwhile start first.
-  const double share_left =
-      std::max(kMinimumShareLeft, 1.0 - ShareOfEarlierRanks(key.rank));
   return std::chrono::duration_cast<duration>(
-      std::max(wait_for_slot, wait_for_rate) / share_left);
+      std::max(wait_for_slot, wait_for_rate) /
+      ShareLeft(place, kind, longest_wait));
 }
 
-double admission_controller::ShareOfEarlierRanks(request_priority rank) const {
-  double share = 0.0;
-  for (const auto& [other, share_of_other] : share_of_starts_) {
-    share += other < rank ? share_of_other : 0.0;
-  }
-  return share;
+void admission_controller::CountStart(time_point now, request_priority rank,
+                                      request_kind kind,
+                                      std::optional<duration> longest_wait,
+                                      bool is_ordinary) {
+  room_.CountStart(rank, kind, WorkOf(now, rank, kind), durations_.OfAll(),
+                   longest_wait, is_ordinary);
+  served_.CountStarted(now, rank, kind);
 }
 
-void admission_controller::CountStart(request_priority rank) {
-  share_of_starts_.try_emplace(rank, 0.0);
-  for (auto& [other, share] : share_of_starts_) {
-    share += ((other == rank ? 1.0 : 0.0) - share) / kShareOfStartsDivisor;
-  }
+line_place admission_controller::PlaceOf(time_point now,
+                                         const arriving_request& arriving,
+                                         duration service) const {
+  line_place place;
+  place.is_ordinary = !served_.IsBelowFloor(now, arriving.rank, arriving.kind);
+  place.rank = arriving.rank;
+  place.is_late = IsLate(now, arriving, service);
+  place.order =
+      place.is_late
+          ? WorkOf(now, arriving.rank, arriving.kind)
+          : (now + LongestWait(now, arriving, service)).time_since_epoch();
+  place.id = last_id_ + 1;
+  return place;
 }
 
 admission_reply admission_controller::Arrive(time_point now,
@@ -132,57 +138,121 @@
     reply.refused = refusal_cause::kTooLate;
     return reply;
   }
-  if (running_.size() < Slots() && Queued() == 0 && rate_.TryTake(now)) {
+  served_.CountAsked(now, arriving.rank, arriving.kind);
+  const duration service = durations_.Of(now, arriving.rank, arriving.kind);
+  const line_place place = PlaceOf(now, arriving, service);
+  const bool allows_long_wait =
+      place.is_late && StartedShareOfLate(place.rank) >= kLongLateWaitShare;
+  const duration longest_wait =
+      allows_long_wait ? (arriving.deadline - now) / kLongLateWaitDivisor
+                       : LongestWait(now, arriving, service);
+  if (running_.size() < Slots() && waiting_.empty() && rate_.TryTake(now)) {
     reply.decided = admission_reply::kind::kStart;
     reply.id = ++last_id_;
     running_.emplace(reply.id,
                      running_request{now, arriving.rank, arriving.kind});
-    CountStart(arriving.rank);
+    CountStart(now, arriving.rank, arriving.kind,
+               place.is_late ? std::nullopt : std::optional{longest_wait},
+               true);
     return reply;
   }
+  const waiting_request request{place.id,
+                                arriving.rank,
+                                arriving.kind,
+                                arriving.deadline,
+                                now + longest_wait,
+                                longest_wait,
+                                WorkOf(now, arriving.rank, arriving.kind)};
   // A request that would wait for too long is refused at once, while there is
   // still time to try another upstream.
-  const duration service = durations_.Of(now, arriving.rank, arriving.kind);
-  const queue_key key{arriving.rank, IsLate(now, arriving, service)};
-  const bool allows_long_wait =
-      key.is_late && StartedShareOfLate(key.rank) >= kLongLateWaitShare;
-  const duration longest_wait =
-      allows_long_wait ? (arriving.deadline - now) / kLongLateWaitDivisor
-                       : LongestWait(now, arriving, service);
-  if (ExpectedWait(now, key) >= longest_wait) {
+  if (!MakeRoom(now, place, request, reply.effects)) {
     reply.refused = arriving.objective == time_point{}
                         ? refusal_cause::kTooLate
                         : refusal_cause::kOverloaded;
     return reply;
   }
-  if (Queued() >= limits_.queue && !EvictFromLaterQueue(key, reply.effects)) {
-    reply.refused = refusal_cause::kQueueFull;
+  if (waiting_.size() >= limits_.queue) {
+    const auto cheapest = waiting_.TakeCheaperThan(place, request);
+    if (!cheapest) {
+      reply.refused = refusal_cause::kQueueFull;
+      return reply;
+    }
+    CountLateOutcome(cheapest->first, false);
+    reply.effects.push_back({cheapest->second.id, refusal_cause::kShed});
+  }
+  waiting_.Add(place, request);
+  if (!FitsIntoLine(now, place, reply.effects)) {
+    reply.refused = refusal_cause::kOverloaded;
     return reply;
   }
   reply.decided = admission_reply::kind::kQueued;
   reply.id = ++last_id_;
-  reply.start_by = now + longest_wait;
-  waiting_[key].push_back({reply.id, arriving, reply.start_by,
-                           WorkOf(now, arriving.rank, arriving.kind)});
+  reply.start_by = request.start_by;
   return reply;
 }
 
-// Refuses the newest request of the last queue if the new request belongs to an
-// earlier one. Returns whether the queue has room now.
-bool admission_controller::EvictFromLaterQueue(
-    queue_key key, std::vector<admission_effect>& effects) {
-  for (auto last = waiting_.rbegin(); last != waiting_.rend(); ++last) {
-    if (last->second.empty()) {
-      continue;
+void admission_controller::GiveUp(const line_place& place,
+                                  std::vector<admission_effect>& effects) {
+  CountLateOutcome(place, false);
+  effects.push_back({place.id, refusal_cause::kOverloaded});
+  waiting_.Remove(place);
+}
+
+// Returns whether the request can start in time, if need be because one of much
+// longer work is given up for it.
+bool admission_controller::MakeRoom(time_point now, const line_place& place,
+                                    const waiting_request& request,
+                                    std::vector<admission_effect>& effects) {
+  // The more of the room goes to later arrivals, the less certain is the wait.
+  const double uncertainty =
+      place.is_late
+          ? 0.0
+          : 1.0 - ShareLeft(place, request.kind, request.longest_wait);
+  const auto wait = std::chrono::duration_cast<duration>(
+      ExpectedWait(now, place, request.kind, request.longest_wait) *
+      (1.0 + uncertainty));
+  if (wait < request.longest_wait) {
+    return true;
+  }
+  // The work that a request needs is no measure of room under a rate limit.
+  if (place.is_late || rate_.Rate()) {
+    return false;
+  }
+  const auto longer = waiting_.LongerWorkAhead(place, request);
+  if (!longer) {
+    return false;
+  }
+  const duration gain = std::chrono::duration_cast<duration>(
+      waiting_.Entries().at(*longer).work /
+      static_cast<std::int64_t>(std::max<std::size_t>(1, Slots())) /
+      ShareLeft(place, request.kind, request.longest_wait));
+  if (wait - gain >= request.longest_wait) {
+    return false;
+  }
+  GiveUp(*longer, effects);
+  return true;
+}
+
+// Returns whether the new request may stay in the line: gives up those that
+// keep others from starting in time, and returns false if that is the new one.
+bool admission_controller::FitsIntoLine(
+    time_point now, const line_place& place,
+    std::vector<admission_effect>& effects) {
+  if (place.is_late || rate_.Rate()) {
+    return true;
+  }
+  for (int given_up = 0; given_up < kMaximumGivenUp; ++given_up) {
+    const auto cheapest = waiting_.CheapestInTheWay(now, Slots());
+    if (!cheapest) {
+      break;
     }
-    if (last->first <= key) {
+    if (*cheapest == place) {
+      waiting_.Remove(place);
       return false;
     }
-    effects.push_back({last->second.back().id, refusal_cause::kShed});
-    last->second.pop_back();
-    return true;
+    GiveUp(*cheapest, effects);
   }
-  return false;
+  return true;
 }
 
 std::vector<admission_effect> admission_controller::Finish(time_point now,
@@ -226,63 +296,50 @@
 
 std::optional<time_point> admission_controller::NextStart(
     time_point now) const {
-  if (Queued() == 0 || running_.size() >= Slots()) {
+  if (waiting_.empty() || running_.size() >= Slots()) {
     return std::nullopt;
   }
   return now + rate_.TimeUntil(now, 1);
 }
 
 bool admission_controller::Withdraw(admission_id id) {
-  std::size_t count = 0;
-  for (auto& [key, queue] : waiting_) {
-    const std::size_t erased = std::erase_if(
-        queue, [id](const waiting_request& each) { return each.id == id; });
-    if (erased > 0) {
-      CountLateOutcome(key, false);
-    }
-    count += erased;
+  const auto taken =
+      waiting_.TakeIf([id](const auto& each) { return each.second.id == id; });
+  for (const auto& [place, request] : taken) {
+    CountLateOutcome(place, false);
   }
-  return count > 0;
+  return !taken.empty();
 }
 
 void admission_controller::RefuseExpired(
     time_point now, std::vector<admission_effect>& effects) {
-  for (auto& waiting : waiting_) {
-    std::erase_if(waiting.second, [&](const waiting_request& each) {
-      const bool has_expired = each.start_by <= now;
-      if (has_expired) {
-        CountLateOutcome(waiting.first, false);
-        effects.push_back({each.id, each.request.deadline <= now
-                                        ? refusal_cause::kTooLate
-                                        : refusal_cause::kOverloaded});
-      }
-      return has_expired;
-    });
+  const auto expired = waiting_.TakeIf(
+      [now](const auto& each) { return each.second.start_by <= now; });
+  for (const auto& [place, request] : expired) {
+    CountLateOutcome(place, false);
+    effects.push_back({request.id, request.deadline <= now
+                                       ? refusal_cause::kTooLate
+                                       : refusal_cause::kOverloaded});
   }
 }
 
 void admission_controller::StartQueued(time_point now,
                                        std::vector<admission_effect>& effects) {
-  while (Queued() > 0 && running_.size() < Slots() && rate_.TryTake(now)) {
+  while (!waiting_.empty() && running_.size() < Slots() && rate_.TryTake(now)) {
     StartNext(now, effects);
   }
 }
 
 void admission_controller::StartNext(time_point now,
                                      std::vector<admission_effect>& effects) {
-  for (auto& [key, queue] : waiting_) {
-    if (queue.empty()) {
-      continue;
-    }
-    const admission_id id = queue.front().id;
-    running_.emplace(
-        id, running_request{now, key.rank, queue.front().request.kind});
-    queue.pop_front();
-    CountStart(key.rank);
-    effects.push_back({id, refusal_cause::kNone});
-    CountLateOutcome(key, true);
-    return;
-  }
+  const auto [place, request] = waiting_.TakeFirst();
+  running_.emplace(request.id,
+                   running_request{now, request.rank, request.kind});
+  CountStart(now, request.rank, request.kind,
+             place.is_late ? std::nullopt : std::optional{request.longest_wait},
+             place.is_ordinary);
+  effects.push_back({request.id, refusal_cause::kNone});
+  CountLateOutcome(place, true);
 }
 
 // Starts at 1, so that the first late requests may use the longer wait.
@@ -290,16 +347,30 @@
   return started_share_of_late_.try_emplace(rank, 1.0).first->second;
 }
 
-void admission_controller::CountLateOutcome(queue_key key, bool is_started) {
-  if (key.is_late) {
-    double& share = StartedShareOfLate(key.rank);
+void admission_controller::CountLateOutcome(const line_place& place,
+                                            bool is_started) {
+  if (place.is_late) {
+    double& share = StartedShareOfLate(place.rank);
     share += ((is_started ? 1.0 : 0.0) - share) / kStartedShareDivisor;
   }
 }
 
 owner_load admission_controller::Load(time_point now, request_priority rank,
                                       request_kind kind) const {
-  return {ExpectedWait(now, {rank, false}), durations_.Of(now, rank, kind),
+  // The place of the next request of that kind: behind all that are on time if
+  // none was started lately.
+  const duration usual_wait = room_.UsualWait(rank, kind);
+  const bool is_usual = usual_wait != duration::max();
+  line_place place;
+  place.is_ordinary = !served_.IsBelowFloor(now, rank, kind);
+  place.rank = rank;
+  place.order = is_usual && kind != kUnknownKind
+                    ? (now + usual_wait).time_since_epoch()
+                    : duration::max();
+  place.id = last_id_ + 1;
+  const duration wait =
+      ExpectedWait(now, place, kind, is_usual ? usual_wait : duration::zero());
+  return {wait, durations_.Of(now, rank, kind),
           static_cast<std::uint32_t>(UsableSlots()), duration::zero()};
 }
 
--- a/Libraries/LibLoad/admission_controller.h
+++ b/Libraries/LibLoad/admission_controller.h
@@ -1,9 +1,7 @@
 #pragma once
 
-#include <compare>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -12,7 +10,10 @@
 #include "LibConfig/configuration.h"
 #include "LibLoad/attempt_outcome.h"
 #include "LibLoad/rate_limiter.h"
+#include "LibLoad/served_shares.h"
 #include "LibLoad/service_times.h"
+#include "LibLoad/waiting_line.h"
+#include "LibLoad/work_shares.h"
 
 namespace wagtailmount {
 
@@ -70,7 +71,10 @@
 /// are refused. A request starts only if a slot is free and the rate that the
 /// backend server takes allows it. Lower ranks start
 /// first; within a rank, requests that can still meet their objective start
-/// before late ones, and otherwise in the order of arrival. A request waits no
+/// before late ones, and of them the one that must start soonest. Where there
+/// is too little room, what is turned away is what costs callers least for the
+/// room that it frees, down to a floor for each kind: see waiting_line and
+/// served_shares. A request waits no
 /// longer than LongestWait(), or, if it is late while most late requests of its
 /// rank get a slot, for a larger part of its remaining time.
 ///
@@ -132,24 +136,9 @@
                   request_kind kind = kUnknownKind) const;
 
   std::size_t Running() const { return running_.size(); }
-  std::size_t Queued() const;
+  std::size_t Queued() const { return waiting_.size(); }
 
  private:
-  /// Identifies a queue; queues are served in ascending order of their keys.
-  struct queue_key {
-    request_priority rank = request_priority::kInteractive;
-    bool is_late = false;
-
-    auto operator<=>(const queue_key&) const = default;
-  };
-
-  struct waiting_request {
-    admission_id id;
-    arriving_request request;
-    time_point start_by;
-    duration work;  ///< Expected time once started.
-  };
-
   struct running_request {
     time_point since;
     request_priority rank;
@@ -161,25 +150,34 @@
   void RefuseExpired(time_point now, std::vector<admission_effect>& effects);
   void StartQueued(time_point now, std::vector<admission_effect>& effects);
   void StartNext(time_point now, std::vector<admission_effect>& effects);
-  bool EvictFromLaterQueue(queue_key key,
-                           std::vector<admission_effect>& effects);
-  duration ExpectedWait(time_point now, queue_key key) const;
+  line_place PlaceOf(time_point now, const arriving_request& arriving,
+                     duration service) const;
+  bool MakeRoom(time_point now, const line_place& place,
+                const waiting_request& request,
+                std::vector<admission_effect>& effects);
+  bool FitsIntoLine(time_point now, const line_place& place,
+                    std::vector<admission_effect>& effects);
+  void GiveUp(const line_place& place, std::vector<admission_effect>& effects);
+  double ShareLeft(const line_place& place, request_kind kind,
+                   duration longest_wait) const;
+  duration ExpectedWait(time_point now, const line_place& place,
+                        request_kind kind, duration longest_wait) const;
   duration MeanWorkOfRunning(time_point now) const;
   duration WorkOf(time_point now, request_priority rank,
                   request_kind kind) const;
-  double ShareOfEarlierRanks(request_priority rank) const;
-  void CountStart(request_priority rank);
+  void CountStart(time_point now, request_priority rank, request_kind kind,
+                  std::optional<duration> longest_wait, bool is_ordinary);
   double& StartedShareOfLate(request_priority rank);
-  void CountLateOutcome(queue_key key, bool is_started);
+  void CountLateOutcome(const line_place& place, bool is_started);
 
   upstream_limits limits_;
   rate_limiter rate_;
   admission_id last_id_ = 0;
   std::map<admission_id, running_request> running_;
-  std::map<queue_key, std::deque<waiting_request>> waiting_;
+  waiting_line waiting_;
   service_times durations_;
-  /// Of each rank: the moving average of its share of all starts.
-  std::map<request_priority, double> share_of_starts_;
+  work_shares room_;
+  served_shares served_;
   /// Of each rank: the moving average of the share of queued late requests that
   /// were started.
   std::map<request_priority, double> started_share_of_late_;
