LibTraffic: Learn nothing about upstreams from requests broken off here

Cause: when a caller left, its exchanges ended as lost after writing. The entry counted that against the upstream, which was ejected, and closed its idle connections to that owner. With pipelining one close cancels up to 16 at once.

Change: an attempt that this node cancelled counts as inconclusive. The test CallersThatLeaveDoNotMakeAnUpstreamLookUnhealthy fails without the change (one of two upstreams got none of 60 requests) and passes with it.

--- a/Libraries/LibTraffic/disconnect_watcher.h
+++ b/Libraries/LibTraffic/disconnect_watcher.h
@@ -45,6 +45,9 @@
   /// The client has disconnected, or is to get no answer.
   void Disconnect();
 
+  /// Whether the request was cancelled by Disconnect(); asks nobody.
+  bool IsCancelled() const { return state_.has_disconnected; }
+
   /// Whether the client has disconnected, as far as the kernel knows now.
   bool HasClientDisconnected();
 
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -250,7 +250,11 @@
                                   watch_);
     }
     const time_point end = state_.clock.Now();
-    service_state_.chooser.End(end, chosen.vm, SignOf(ended), end - begin);
+    // What this node broke off itself shows nothing about the upstream.
+    const attempt_signal sign = !ended.answer && watch_.IsCancelled()
+                                    ? attempt_signal::kInconclusive
+                                    : SignOf(ended);
+    service_state_.chooser.End(end, chosen.vm, sign, end - begin);
     RecordStatement(chosen, ended, begin);
     if (ended.load) {
       service_state_.chooser.RecordReportedLoad(
--- a/Libraries/LibTraffic/owner_call.cc
+++ b/Libraries/LibTraffic/owner_call.cc
@@ -145,7 +145,7 @@
   if (connection != nullptr) {
     RecordOwnerClock(*connection, result, clock.Now());
     worker.pool.Keep(owner.hop, std::move(connection), clock.Now());
-  } else if (IsUnanswered(result.outcome)) {
+  } else if (IsUnanswered(result.outcome) && !watch.IsCancelled()) {
     worker.pool.CloseIdleSince(owner.hop, begin);
   }
   if (result.answer) {
--- a/Tests/LibTraffic/test_pipelining.cc
+++ b/Tests/LibTraffic/test_pipelining.cc
@@ -202,6 +202,36 @@
   BOOST_TEST(fixture.Counters().pipelined_cancelled == 4U);
 }
 
+// Requests that their caller gave up say nothing about upstreams.
+BOOST_AUTO_TEST_CASE(CallersThatLeaveDoNotMakeAnUpstreamLookUnhealthy) {
+  constexpr int kCallers = 10;
+  constexpr int kRequests = 60;
+  traffic_fixture fixture{2};
+  fixture.Publish();
+  const auto running = [&] {
+    return fixture.Owner(1).backend_server->Running() +
+           fixture.Owner(2).backend_server->Running();
+  };
+  for (int count = 0; count < kCallers; ++count) {
+    test_caller caller{fixture.Entry().caller_address};
+    for (int number = 0; number < 4; ++number) {
+      caller.Send(Request(std::to_string(number), Fake("hang")));
+    }
+    BOOST_REQUIRE(Eventually([&] { return running() == 4; }));
+    caller.Close();
+    BOOST_REQUIRE(Eventually([&] { return running() == 0; }));
+  }
+  const int before[] = {fixture.Owner(1).backend_server->TotalRuns(),
+                        fixture.Owner(2).backend_server->TotalRuns()};
+  for (int count = 0; count < kRequests; ++count) {
+    BOOST_TEST(Call(fixture.Entry().caller_address, "GET", "/").status == 200);
+  }
+  for (const int number : {1, 2}) {
+    BOOST_TEST(fixture.Owner(number).backend_server->TotalRuns() >
+               before[number - 1]);
+  }
+}
+
 // The close lies behind bytes that may not be read yet.
 BOOST_AUTO_TEST_CASE(ACallerThatLeavesBehindUnreadRequestsCancelsAll) {
   pipelining_fixture fixture;
