--- a/Libraries/LibTraffic/owner_call.cc
+++ b/Libraries/LibTraffic/owner_call.cc
@@ -147,7 +147,7 @@
   RecordOwnerClock(worker.pool.ClockOf(owner.hop), result, clock.Now());
   if (connection != nullptr) {
     worker.pool.Keep(owner.hop, std::move(connection), clock.Now());
-  } else if (IsUnanswered(result.outcome)) {
+  } else if (IsUnanswered(result.outcome) && !watch.IsCancelled()) {
     worker.pool.CloseIdleSince(owner.hop, begin);
   }
   if (result.answer) {
