LibTraffic, LibLoad: Send large bodies to an owner only after its go-ahead

Cause: bodies of 60 to 360 KB go over links of 10 Mbit/s as they come. The links fill in bursts, and small requests to the same VMs die behind them.

Change: an entry announces a body from 16 KiB on with Expect: 100-continue. The owner refuses it as not run before it is sent, or gives it a turn on its link and a rate (LibLoad/body_schedule); the entry sends it in pieces at that rate. Nothing of a body is consumed before, so another owner can get it.

Ruled out: holding the slot while the body arrives; the wait for it is checked before the go-ahead and the slot is taken after.

--- a/Libraries/LibNode/traffic_start.cc
+++ b/Libraries/LibNode/traffic_start.cc
@@ -25,6 +25,7 @@
           .fields = {},
           .cold_overage = settings.cold_overage,
           .cold_slack = settings.cold_slack,
+          .link_megabits_per_second = settings.link_megabits_per_second,
           .retries = {}};
 }
 
--- a/Libraries/LibTraffic/exchange.cc
+++ b/Libraries/LibTraffic/exchange.cc
@@ -2,6 +2,7 @@
 
 #include <limits>
 
+#include "LibTraffic/body_go_ahead.h"
 #include "LibTraffic/header_fields.h"
 
 namespace wagtailmount::detail {
@@ -190,11 +191,20 @@
   watch.CloseOnDisconnect(connection.get());
   connection->stream.expires_after(deadline - clock.Now());
   attempt_result result;
-  const write_status written = co_await WriteRequest(*connection, request);
-  if (written == write_status::kWritten) {
+  announced_write write;
+  if (rules.is_body_announced) {
+    write = co_await WriteAnnounced(*connection, request);
+  } else {
+    write.written = co_await WriteRequest(*connection, request);
+  }
+  if (write.written == write_status::kWritten || write.is_answered) {
     result = co_await ReadAnswer(connection, request, deadline, clock, rules);
   } else {
-    result.outcome = OutcomeOfFailedWrite(written, clock.Now() < deadline);
+    result.outcome =
+        OutcomeOfFailedWrite(write.written, clock.Now() < deadline);
+  }
+  if (write.is_answered) {
+    connection.reset();
   }
   watch.CloseOnDisconnect(nullptr);
   // A connection is never reused after an incomplete exchange.
--- a/Libraries/LibTraffic/exchange.h
+++ b/Libraries/LibTraffic/exchange.h
@@ -40,6 +40,8 @@
   request_id_rule id = request_id_rule::kOptional;
   /// Accepts a body without a length, which ends when the connection is closed.
   bool may_end_with_connection = false;
+  /// Asks for a go-ahead before the body is sent; see body_go_ahead.h.
+  bool is_body_announced = false;
 };
 
 /// Writes `request` on `connection` and reads the answer. Ends at `deadline`,
--- a/Libraries/LibTraffic/header_fields.h
+++ b/Libraries/LibTraffic/header_fields.h
@@ -37,6 +37,9 @@
 /// In refusals: the backend server states in its answers that it leaves.
 inline constexpr std::string_view kBackendLeavingField =
     "Wagtailmount-Backend-Leaving";
+/// In the go-ahead for a large body: how many bytes a second its sender may
+/// send; missing if that is not bounded.
+inline constexpr std::string_view kBodyRateField = "Wagtailmount-Body-Rate";
 inline constexpr std::string_view kRequestIdField = "X-Request-Id";
 
 /// Conversions to and from the string_view type of Boost.Beast.
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -1,7 +1,10 @@
+#include <boost/asio/steady_timer.hpp>
+
 #include "LibLoad/backend_statement.h"
 #include "LibLoad/load_text.h"
 #include "LibLoad/retry.h"
 #include "LibTraffic/answers.h"
+#include "LibTraffic/body_go_ahead.h"
 #include "LibTraffic/header_fields.h"
 #include "LibTraffic/hop_text.h"
 #include "LibTraffic/owner.h"
@@ -91,7 +94,81 @@
     return std::max<duration>(age, duration::zero());
   }
 
+  // Decides about a body that its sender has announced. Returns kNone once the
+  // sender was told to go ahead.
+  task<refusal_cause> AdmitBody() {
+    const time_point now = state_.clock.Now();
+    const owner_load load = state_.gate.Load(priority_);
+    const duration longest_wait = LongestWaitBeforeBody(now, load.service);
+    const std::uint64_t bytes =
+        parser_.content_length().value_or(kRetainedBodyBytes);
+    const auto transfer =
+        load.wait < longest_wait
+            ? state_.bodies.Reserve(now, bytes, now + longest_wait,
+                                    deadline_ - load.service)
+            : std::nullopt;
+    if (!transfer) {
+      LogBodyRefusal(bytes, load);
+      ++state_.counters.owner_refused;
+      co_return refusal_cause::kOverloaded;
+    }
+    if (transfer->begin > now) {
+      boost::asio::steady_timer timer{client_.stream.get_executor()};
+      timer.expires_after(transfer->begin - now);
+      error_code ignored;
+      co_await timer.async_wait(ReportTo(ignored));
+    }
+    transfer_ = transfer;
+    parser_.get().erase(http::field::expect);
+    bool is_sent = false;
+    if (!client_.HasPeerClosed()) {
+      is_sent = co_await SendGoAhead(client_, transfer->bytes_a_second);
+    }
+    if (!is_sent) {
+      EndTransfer();
+    }
+    co_return is_sent ? refusal_cause::kNone : refusal_cause::kAbandoned;
+  }
+
+  // As long as the backend server's queue may take the request.
+  duration LongestWaitBeforeBody(time_point now, duration service) const {
+    const arriving_request arriving{deadline_, priority_, objective_};
+    return IsLate(now, arriving, service) ? (deadline_ - now) / 2
+                                          : LongestWait(now, arriving, service);
+  }
+
+  void EndTransfer() {
+    if (transfer_) {
+      state_.bodies.Release(state_.clock.Now(), *transfer_);
+      transfer_.reset();
+    }
+  }
+
+  void LogBodyRefusal(std::uint64_t bytes, const owner_load& load) {
+    if (state_.log == nullptr) {
+      return;
+    }
+    using std::chrono::duration_cast;
+    using std::chrono::milliseconds;
+    log_line line{"body-refused"};
+    line.Text("id", id_)
+        .Number("bytes", static_cast<std::int64_t>(bytes))
+        .Number("wait_ms", duration_cast<milliseconds>(load.wait).count())
+        .Number("left_ms",
+                duration_cast<milliseconds>(deadline_ - begin_).count());
+    state_.log->Add(std::move(line));
+  }
+
   task<bool> Run() {
+    if (IsContinueExpected(parser_) && !parser_.is_done()) {
+      const refusal_cause refused = co_await AdmitBody();
+      if (refused == refusal_cause::kAbandoned) {
+        co_return false;
+      }
+      if (refused != refusal_cause::kNone) {
+        co_return co_await Refuse(verdict::kNotRun, refused);
+      }
+    }
     outgoing_request request;
     const body_status read_status =
         co_await ReadRequestBody(client_, parser_, request);
@@ -99,6 +176,9 @@
         read_status == body_status::kInvalid) {
       co_return false;
     }
+    if (read_status == body_status::kComplete) {
+      EndTransfer();
+    }
     const auto known_rate_limit =
         ParseRateLimit(FieldOf(request.message, kRateLimitField));
     MergeCrashReports(state_, request, FieldOf(request.message, kCrashesField));
@@ -188,6 +268,7 @@
   time_point objective_{};
   request_priority priority_ = request_priority::kInteractive;
   bool is_head_ = false;
+  std::optional<body_transfer> transfer_;  ///< While the body may arrive.
 };
 
 }  // namespace
--- a/Libraries/LibTraffic/owner_call.cc
+++ b/Libraries/LibTraffic/owner_call.cc
@@ -5,6 +5,7 @@
 
 #include "LibLoad/backend_statement.h"
 #include "LibLoad/load_text.h"
+#include "LibTraffic/body_go_ahead.h"
 #include "LibTraffic/header_fields.h"
 #include "LibTraffic/hop_text.h"
 #include "LibTraffic/quarantine_check.h"
@@ -140,8 +141,11 @@
                   connection->clock);
   SetKnownRateLimit(incoming.request.message, worker.state, owner);
   SetKnownCrashes(incoming.request, worker.state);
-  result = co_await Exchange(connection, incoming.request, incoming.deadline,
-                             clock, {.id = request_id_rule::kRequired}, watch);
+  result = co_await Exchange(
+      connection, incoming.request, incoming.deadline, clock,
+      {.id = request_id_rule::kRequired,
+       .is_body_announced = IsBodyAnnounced(incoming.request)},
+      watch);
   if (connection != nullptr) {
     RecordOwnerClock(*connection, result, clock.Now());
     worker.pool.Keep(owner.hop, std::move(connection), clock.Now());
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "LibBase/random.h"
+#include "LibLoad/body_schedule.h"
 #include "LibLoad/caller_wait_estimator.h"
 #include "LibLoad/retry_budget.h"
 #include "LibRouting/exchange_sizes.h"
@@ -68,7 +69,8 @@
         gate(server_clock),
         statements(server_clock, server_log),
         quarantine(server_clock, server_log, server_settings.vm,
-                   server_settings.fields.caller_service) {}
+                   server_settings.fields.caller_service),
+        bodies(LinkBytesASecond(server_settings)) {}
 
   const traffic_settings settings;
   const runtime_clock& clock;
@@ -96,6 +98,12 @@
     return snapshot.Own() ? snapshot.Own()->service : settings.service;
   }
 
+  static std::uint64_t LinkBytesASecond(const traffic_settings& settings) {
+    constexpr double kBytesAMegabit = 125'000.0;
+    return static_cast<std::uint64_t>(settings.link_megabits_per_second *
+                                      kBytesAMegabit);
+  }
+
   /// Whether callers have so many connections open that kept ones could take
   /// the descriptors which new connections need.
   bool IsCrowded() const;
@@ -106,6 +114,7 @@
   backend_gate gate;
   backend_statements statements;
   request_quarantine quarantine;
+  body_schedule bodies;  ///< From other nodes, over this VM's link.
 };
 
 /// One traffic thread's state for one service.
--- /dev/null
+++ b/Tests/LibTraffic/test_uploads.cc
@@ -0,0 +1,125 @@
+// Large bodies between two nodes: announced, and sent after a go-ahead.
+
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <string>
+
+#include "Tests/LibTraffic/traffic_fixture.h"
+
+using namespace wagtailmount::testing;  // NOLINT(google-build-using-namespace)
+using std::chrono::milliseconds;
+
+namespace {
+
+// Of kiosks whose links are the slowest that are used.
+constexpr double kLinkMegabits = 10.0;
+constexpr std::size_t kMeanBytes = 60'000;
+constexpr std::size_t kLongestBytes = 360'000;
+
+fixture_options Options(double link = kLinkMegabits) {
+  fixture_options options;
+  options.link_megabits_per_second = link;
+  return options;
+}
+
+std::string BodyOf(std::size_t bytes) {
+  std::string body;
+  while (body.size() < bytes) {
+    body += std::to_string(body.size()) + ' ';
+  }
+  body.resize(bytes);
+  return body;
+}
+
+std::string AnnouncedHead(std::size_t bytes, milliseconds left) {
+  return "POST / HTTP/1.1\r\nHost: ledger\r\nX-Request-Id: announced\r\n"
+         "Expect: 100-continue\r\nWagtailmount-Hop: vm-1 ledger " +
+         std::to_string(left.count()) +
+         " 0 1\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n";
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(uploads_suite)
+
+BOOST_AUTO_TEST_CASE(LargeBodiesCrossWholeWithAndWithoutAKnownLink) {
+  for (const double link : {0.0, kLinkMegabits}) {
+    traffic_fixture fixture{2, Options(link)};
+    fixture.Publish();
+    for (const std::size_t bytes : {kMeanBytes, kLongestBytes}) {
+      const std::string body = BodyOf(bytes);
+      const auto answer =
+          Call(fixture.Entry().caller_address, "POST", "/", "", body);
+      BOOST_TEST(answer.status == 200);
+      BOOST_TEST((answer.body == body));
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnAnnouncedBodyGetsItsRateWithTheGoAhead) {
+  traffic_fixture fixture{1, Options()};
+  fixture.Publish();
+  test_caller sender{fixture.Owner(1).hop_address};
+  const std::string body = BodyOf(kMeanBytes);
+  sender.Send(AnnouncedHead(body.size(), milliseconds{2'000}));
+  const auto go_ahead = sender.Receive(true);
+  BOOST_TEST(go_ahead.status == 100);
+  BOOST_TEST(go_ahead.Field("Wagtailmount-Body-Rate") == "750000");
+  sender.Send(body);
+  const auto answer = sender.Receive();
+  BOOST_TEST(answer.status == 200);
+  BOOST_TEST((answer.body == body));
+}
+
+BOOST_AUTO_TEST_CASE(ABodyThatCannotArriveInTimeIsRefusedBeforeItIsSent) {
+  traffic_fixture fixture{1, Options()};
+  fixture.Publish();
+  test_caller sender{fixture.Owner(1).hop_address};
+  sender.Send(AnnouncedHead(kLongestBytes, milliseconds{200}));
+  const auto refused = sender.Receive();
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(refused.Field("Wagtailmount-Verdict") == "not-run");
+  BOOST_TEST(refused.Field("Wagtailmount-Reason") == "overloaded");
+  BOOST_TEST(sender.IsClosed());
+  BOOST_TEST(fixture.Owner(1).backend_server->TotalRuns() == 0);
+}
+
+// The link of vm-1 is taken for 1.9 s by a sender that stalls.
+BOOST_AUTO_TEST_CASE(ARefusedBodyIsSentToAnotherOwnerWhole) {
+  fixture_options options = Options();
+  options.deadline = milliseconds{500};
+  traffic_fixture fixture{2, options};
+  fixture.Publish();
+  test_caller stalled{fixture.Owner(1).hop_address};
+  stalled.Send(AnnouncedHead(4 * kLongestBytes, milliseconds{2'500}));
+  BOOST_REQUIRE(stalled.Receive(true).status == 100);
+  for (int count = 0; count < 4; ++count) {
+    for (const std::size_t bytes : {kMeanBytes, 2 * kMeanBytes}) {
+      const std::string body = BodyOf(bytes);
+      const auto answer =
+          Call(fixture.Entry().caller_address, "POST", "/", "", body);
+      BOOST_TEST(answer.status == 200);
+      BOOST_TEST((answer.body == body));
+    }
+  }
+  BOOST_TEST(fixture.Owner(1).backend_server->TotalRuns() == 0);
+  BOOST_TEST(fixture.Owner(1).server->Counters().owner_refused > 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ABodyWhoseSenderLeftWhileItWaitedIsNotRun) {
+  traffic_fixture fixture{1, Options()};
+  fixture.Publish();
+  test_caller first{fixture.Owner(1).hop_address};
+  first.Send(AnnouncedHead(kLongestBytes, milliseconds{2'000}));
+  BOOST_REQUIRE(first.Receive(true).status == 100);
+  test_caller second{fixture.Owner(1).hop_address};
+  second.Send(AnnouncedHead(kMeanBytes, milliseconds{2'000}));
+  BOOST_TEST(Eventually(
+      [&] { return fixture.Owner(1).server->Counters().in_flight == 2; }));
+  second.Close();
+  BOOST_TEST(Eventually(
+      [&] { return fixture.Owner(1).server->Counters().in_flight == 1; }));
+  BOOST_TEST(fixture.Owner(1).backend_server->TotalRuns() == 0);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibTraffic/traffic_fixture.cc
+++ b/Tests/LibTraffic/traffic_fixture.cc
@@ -116,6 +116,7 @@
   settings.backend_server = vm.backend_address;
   settings.threads = threads_;
   settings.maximum_descriptors = options_.maximum_descriptors;
+  settings.link_megabits_per_second = options_.link_megabits_per_second;
   settings.fields.expected_backend_server = options_.expected_backend_server;
   settings.fields.may_end_with_connection = options_.may_end_with_connection;
   auto started = traffic_server::Start(settings, clock_, &vm.log->Log());
--- a/Tests/LibTraffic/traffic_fixture.h
+++ b/Tests/LibTraffic/traffic_fixture.h
@@ -52,6 +52,7 @@
   std::chrono::milliseconds deadline{2'000};
   std::chrono::milliseconds latency_objective{0};  ///< 0: there is none.
   std::uint32_t maximum_descriptors = 0;  ///< Of each node; 0 if unknown.
+  double link_megabits_per_second = 0.0;  ///< Of each node; 0 if unknown.
   /// Names the id of the backend server that a request is meant for; empty if
   /// backend servers have none.
   std::string_view expected_backend_server;
