--- a/Libraries/LibTraffic/body_go_ahead.cc
+++ b/Libraries/LibTraffic/body_go_ahead.cc
@@ -12,7 +12,7 @@
 namespace {
 
 // Smaller bodies cost a link less time than a round trip takes.
-constexpr std::size_t kAnnouncedBodyBytes = 16 * 1024;
+constexpr std::size_t kAnnouncedBodyBytes = std::size_t{16} * 1024;
 constexpr std::size_t kFirstReadBytes = 4'096;
 
 using request_serializer = http::request_serializer<http::buffer_body>;
