--- a/Tests/LibTraffic/traffic_fixture.cc
+++ b/Tests/LibTraffic/traffic_fixture.cc
@@ -116,6 +116,7 @@
   settings.backend_server = vm.backend_address;
   settings.threads = threads_;
   settings.maximum_descriptors = options_.maximum_descriptors;
+  settings.link_megabits_per_second = options_.link_megabits_per_second;
   settings.fields.expected_backend_server = options_.expected_backend_server;
   settings.cold_overage = options_.cold_overage;
   settings.cold_slack = options_.cold_slack;
--- a/Tests/LibTraffic/traffic_fixture.h
+++ b/Tests/LibTraffic/traffic_fixture.h
@@ -56,6 +56,7 @@
   std::uint32_t maximum_descriptors = 0;  ///< Of each node; 0 if unknown.
   double cold_overage = 1.0;
   std::uint32_t cold_slack = 0;
+  double link_megabits_per_second = 0.0;  ///< Of each node; 0 if unknown.
   /// Names the id of the backend server that a request is meant for; empty if
   /// backend servers have none.
   std::string_view expected_backend_server;
