--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -99,7 +99,7 @@
   // sender was told to go ahead.
   task<refusal_cause> AdmitBody() {
     const time_point now = state_.clock.Now();
-    const owner_load load = state_.gate.Load(priority_);
+    const owner_load load = state_.gate.Load(priority_, kind_);
     const duration longest_wait = LongestWaitBeforeBody(now, load.service);
     const std::uint64_t bytes =
         parser_.content_length().value_or(kRetainedBodyBytes);
