LibTraffic: Start nothing at an owner without a configuration

Cause: a node that has just started takes requests of other nodes before its own configuration is in force. The limits of its backend server come with that, so such requests ran under the built-in ones: 20 at a time at a backend server of six slots, and none of the limit for a cold one.

Ruled out: a stale registration (both nodes knew within 20 ms of serving that the backend server was cold).

Change: refused as not run, which an entry node takes for a lack of room.

AnOwnerWithoutAConfigurationStartsNothing failed before (ran once, 200) and passes; 11 of 11 programs of LibTraffic and LibNode pass.

--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -31,6 +31,7 @@
     case refusal_cause::kCold:
     case refusal_cause::kShed:
     case refusal_cause::kDraining:
+    case refusal_cause::kNoConfiguration:
     case refusal_cause::kEvacuated:
     case refusal_cause::kTooLate:
       return attempt_signal::kOwnerRefused;
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -49,6 +49,11 @@
     if (state_.is_leaving) {
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kDraining);
     }
+    // The limits of the backend server come with the configuration.
+    if (state_.snapshot.load() == nullptr) {
+      co_return co_await Refuse(verdict::kNotRun,
+                                refusal_cause::kNoConfiguration);
+    }
     if (!IsForThisVm(head, *parameters)) {
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kWrongOwner);
     }
--- a/Tests/LibTraffic/test_hop_age.cc
+++ b/Tests/LibTraffic/test_hop_age.cc
@@ -129,6 +129,20 @@
   BOOST_TEST(Owner(1).backend_server->RunCount("late") == 0);
 }
 
+// After a restart of all nodes, requests of others came in before the
+// configuration, and ran without the limits of a cold backend server.
+BOOST_AUTO_TEST_CASE(AnOwnerWithoutAConfigurationStartsNothing) {
+  RestartOwner(1);
+  const auto refused = SendToOwner("early", OwnerTimeIn(milliseconds{1'000}));
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(refused.Field("Wagtailmount-Verdict") == "not-run");
+  BOOST_TEST(refused.Field("Wagtailmount-Reason") == "no-configuration");
+  BOOST_TEST(Owner(1).backend_server->RunCount("early") == 0);
+  Publish();
+  BOOST_TEST(SendToOwner("later", OwnerTimeIn(milliseconds{1'000})).status ==
+             200);
+}
+
 BOOST_AUTO_TEST_CASE(ADeadlineThatIsNoNumberEndsTheConnection) {
   BOOST_TEST(SendToOwner("malformed", "soon").status == 0);
   BOOST_TEST(Owner(1).backend_server->RunCount("malformed") == 0);
