LibTraffic: Drop the waiting requests before their timers' contexts end

Cause: the gate of a backend server outlives the io_contexts of the traffic threads, and with it requests that still wait for a slot, whose timers belong to those contexts. A traffic server that ended while requests waited freed them too late. The node itself exits without destructors; tests that restart a node do not.

--- a/Libraries/LibTraffic/backend_gate.cc
+++ b/Libraries/LibTraffic/backend_gate.cc
@@ -55,6 +55,11 @@
   return admission_.TrySend(clock_.Now(), id);
 }
 
+void backend_gate::ForgetWaiters() {
+  const std::lock_guard lock{mutex_};
+  waiters_.clear();
+}
+
 idle_connection_permit backend_gate::TryAcquireIdlePermit() {
   if (++idle_connections_ <= maximum_idle_connections_) {
     return idle_connection_permit{idle_connections_};
--- a/Libraries/LibTraffic/backend_gate.h
+++ b/Libraries/LibTraffic/backend_gate.h
@@ -92,6 +92,10 @@
   /// Waits for a slot, for at most as long as the admission policy allows.
   task<slot_result> AcquireSlot(arriving_request arriving);
 
+  /// Drops the requests that wait for a slot. Must be called before the
+  /// io_contexts end, which the waiters' timers use, and after their threads.
+  void ForgetWaiters();
+
   /// The reported load for requests of priority `rank` and of `kind`.
   owner_load Load(request_priority rank, request_kind kind) const;
 
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -77,6 +77,7 @@
     for (std::thread& thread : threads_) {
       thread.join();
     }
+    state_.gate.ForgetWaiters();
   }
 
   result<void> Run() {
