--- a/Tests/LibTraffic/test_failures.cc
+++ b/Tests/LibTraffic/test_failures.cc
@@ -152,11 +152,14 @@
   options.deadline = milliseconds{20'000};
   traffic_fixture fixture{1, options};
   fixture.Publish();
+  int runs = 0;
   for (const auto& address :
        {fixture.Entry().caller_address, fixture.Owner(1).caller_address}) {
     test_caller caller{address};
     caller.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Fake: hang\r\n\r\n");
-    std::this_thread::sleep_for(milliseconds{100});
+    ++runs;
+    BOOST_TEST(Eventually(
+        [&] { return fixture.Owner(1).backend_server->TotalRuns() == runs; }));
     BOOST_TEST(!fixture.Owner(1).server->IsIdle());
     caller.Close();
     BOOST_TEST(Eventually([&] {
