Review: connections to nodes that are gone use up all descriptors

The case shows that a node keeps its connections to other nodes open after these have left, until it has no descriptor left for a new client, while it says that it is ready.

--- a/review/build.sh
+++ b/review/build.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")"
 python3 -B - <<'CHECK'
 import ast, pathlib
-for file in sorted(pathlib.Path(".").glob("*/*.py")):
+for file in sorted(pathlib.Path(".").rglob("*.py")):
     ast.parse(file.read_text(), str(file))
     print("review/" + str(file) + ": can be run")
 CHECK
--- a/review/stand_ins/mesh.py
+++ b/review/stand_ins/mesh.py
@@ -12,6 +12,7 @@
 import pathlib
 import random
 import re
+import resource
 import shlex
 import shutil
 import signal
@@ -82,8 +83,12 @@
     return re.sub(r"\{\{([^}#/^]+)\}\}", value, text)
 
 
-def die_with_parent():
-    ctypes.CDLL(None).prctl(1, signal.SIGKILL)
+MAX_FDS = 4100  # `max-fds` of the settings: "Memory and descriptors are limited for each process" (DEPLOY.md).
+
+
+def prepare_process():
+    ctypes.CDLL(None).prctl(1, signal.SIGKILL)  # It ends with the script.
+    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
 
 
 class HttpConnection:
@@ -398,8 +403,9 @@
             try:
                 since = self.mesh.record.now()
                 self.ran.append((time.monotonic(), request_id))
-                self.mesh.record.add(f"upstream {self.identity} ({self.service}, {self.machine}) runs {request_id} "
-                                     f"{method} {target}")
+                if not self.mesh.quiet:
+                    self.mesh.record.add(f"upstream {self.identity} ({self.service}, {self.machine}) runs {request_id} "
+                                         f"{method} {target}")
                 body = connection.read_body(fields, self.read_pace)
                 if body is None:
                     self.mesh.record.add(f"upstream {self.identity}: {request_id} was broken off in its body")
@@ -436,7 +442,7 @@
         ports = self.mesh.ports
         listen = {name: f"{self.machine}:{ports[name]}" for name in ("inbound", "outbound", "ready")}
         values = {"ip": self.machine, "zone": self.zone, "region": "pk-central", "service": self.service,
-                  "limits": {"link-mbps": 1000.0, "max-fds": 4100}, "listen": listen,
+                  "limits": {"link-mbps": 1000.0, "max-fds": MAX_FDS}, "listen": listen,
                   "internal-ports": [ports["peer"], ports["admin"]],
                   "app-addr": f"{self.machine}:{ports['app']}",
                   "platform": {"address": self.mesh.store_address, "reads-per-s": 2000},
@@ -451,7 +457,7 @@
             raise CannotRun(f"{program.relative_to(ROOT)} is not built")
         with open(self.mesh.folder / f"{self.machine}.log", "ab") as log:
             self.process = subprocess.Popen([str(program)] + command[1:], cwd=ROOT, stdout=log, stderr=log,
-                                            preexec_fn=die_with_parent)
+                                            preexec_fn=prepare_process)
         self.mesh.record.add(f"node {self.machine} ({self.service}, {self.zone}): started")
 
     def signal(self, number):
@@ -489,6 +495,7 @@
         self.store_address = f"{self.net}.250:{self.ports['store']}"
         self.store = Store(self.store_address, self.record, **store_options)
         self.nodes, self.upstreams = {}, []
+        self.quiet = False  # Each run of a request stands in the record.
         self._count = 0
         self._lock = threading.Lock()
         self.record.add(f"TROUBLE={int(TROUBLE)}")
