--- a/review/1/scene.py
+++ b/review/1/scene.py
@@ -15,8 +15,9 @@
 CONTACT_S = 3.0
 UPSTREAMS = 12
 CLIENTS = 500
-MOST_RELEASES = 9
-MOST_S = 75.0
+REPLACED = 6  # In each release: half of them.
+MOST_RELEASES = 24
+MOST_S = 85.0
 DEADLINE_MS = 8000
 
 
@@ -73,10 +74,10 @@
             self.over.wait(1.0)
 
 
-def release(mesh, first):
-    """Starts the upstreams of one release, each with its node."""
+def start_upstreams(mesh, first, count):
+    """Starts upstreams at new addresses, each with its node."""
     added = [mesh.add(number, "ledger", f"hall-{'abcd'[number % 4]}", f"i-{number:04x}", work_s=0.5)
-             for number in range(first, first + UPSTREAMS)]
+             for number in range(first, first + count)]
     for _, node in added:
         node.start()
     mesh.wait_ready([node for _, node in added])
@@ -101,7 +102,7 @@
                                   "timeout": "8000ms", "aim": "4000ms"}]))
     _, entry = mesh.add(1, "front", "hall-a")
     entry.start()
-    running = release(mesh, 2)
+    running = start_upstreams(mesh, 2, UPSTREAMS)
     mesh.wait_ready([entry])
     over = threading.Event()
     clients = [PoolClient(mesh, entry, over) for _ in range(CLIENTS)]
@@ -121,11 +122,11 @@
         over_the_limit += descriptors() >= MAX_FDS - 20
         if over_the_limit > 1 or mesh.record.now() > MOST_S:
             break
-        added = release(mesh, 2 + UPSTREAMS * (number + 1))
-        retire(mesh, running)
-        running = added
-        mesh.record.add(f"release {number + 1} of {UPSTREAMS} upstreams is done; the node that goes on running holds "
-                        f"{descriptors()} descriptors")
+        running += start_upstreams(mesh, 2 + UPSTREAMS + REPLACED * number, REPLACED)
+        retire(mesh, running[:REPLACED])
+        del running[:REPLACED]
+        mesh.record.add(f"release {number + 1}: {REPLACED} of {UPSTREAMS} upstreams are replaced; the node that goes on "
+                        f"running holds {descriptors()} descriptors")
     time.sleep(2 * CONTACT_S)
     mesh.record.add("nothing is changed any more; ten further clients try")
     began = time.monotonic()
