--- a/review/left_out/abandoned_upload/scene.py
+++ b/review/left_out/abandoned_upload/scene.py
@@ -43,7 +43,7 @@
             sock.settimeout(patience or 4)
             answer = sock.recv(65536)
             mesh.record.add(f"client at {machine} {request_id}: {answer.split(b' ')[1:2]}")
-        except TimeoutError:
+        except socket.timeout:
             closed[request_id] = time.monotonic()
             mesh.record.add(f"client at {machine} {request_id}: leaves")
         sock.close()
--- a/review/stand_ins/mesh.py
+++ b/review/stand_ins/mesh.py
@@ -21,6 +21,8 @@
 import tempfile
 import threading
 import time
+import traceback
+import urllib.parse
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -91,6 +93,14 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
 
 
+def use_own_descriptors():
+    """The script may hold as many descriptors as it is allowed to."""
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if most < 2 * MAX_FDS:
+        raise CannotRun(f"the script may hold only {most} descriptors")
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
+
+
 class HttpConnection:
     """One accepted connection, read as HTTP/1.1."""
 
@@ -275,7 +285,7 @@
             connection.answer(status, [("Content-Type", "application/json")], json.dumps(document).encode())
 
     def _answer(self, path, asked):
-        unquote = __import__("urllib.parse").parse.unquote
+        unquote = urllib.parse.unquote
         if path == "/kv-range":
             return 200, self._page(unquote(asked.get("prefix", "")), unquote(asked.get("after", "")),
                                    asked.get("stale-ok") == "1")
@@ -288,8 +298,8 @@
         with self._changed:
             revision, items = self._revision, self._items
             if age > 0:
-                _, revision, items = [each for each in self._states if each[0] <= time.monotonic() - age][-1] \
-                    if self._states[0][0] <= time.monotonic() - age else self._states[0]
+                then = time.monotonic() - age
+                _, revision, items = ([each for each in self._states if each[0] <= then] or self._states[:1])[-1]
             keys = [key for key in sorted(items) if key.startswith(prefix) and key > after]
             page, size = [], 0
             for key in keys:
@@ -309,11 +319,9 @@
         with self._changed:
             while True:
                 now = time.monotonic()
-                oldest = [event["revision"] for at, event in self._events if at >= now - HISTORY_S]
                 forgotten = [event["revision"] for at, event in self._events if at < now - HISTORY_S]
                 if forgotten and after < forgotten[-1]:
                     return 410, {}
-                del oldest
                 events = [event for _, event in self._events
                           if event["revision"] > after and event["key"].startswith(prefix)]
                 if events or now >= end:
@@ -608,6 +616,7 @@
     folder = pathlib.Path(case_file).resolve().parent
     mesh, status = None, 2
     try:
+        use_own_descriptors()
         mesh = Mesh(folder, **store_options)
         held, told = scene(mesh)
         status = 0 if held else 1
@@ -617,6 +626,8 @@
         if mesh:
             mesh.record.add(f"could not run: {failure}")
         print(f"could not run: {failure}")
+    except Exception:  # pylint: disable=broad-except
+        traceback.print_exc()
     finally:
         if mesh:
             mesh.stop()
