--- a/review/3/scene.py
+++ b/review/left_out/mixed_pages/scene.py
@@ -4,7 +4,7 @@
 import sys
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "stand_ins"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[2] / "stand_ins"))
 from mesh import DRAIN_S, TROUBLE, configuration, play  # noqa: E402
 
 CONTACT_S = 3.0
