--- a/review/1/scene.py
+++ b/review/1/scene.py
@@ -86,8 +86,8 @@
     over.set()
     for each in keepers:
         each.join()
-    log = (mesh.folder / f"{nodes[0].machine}.log").read_text().splitlines()
-    mesh.record.add(f"the last line that {nodes[0].machine} wrote: {log[-1][:200]}")
+    last = (mesh.folder / f"{nodes[0].machine}.log").read_text().splitlines()[-1].replace(str(mesh.folder), "")
+    mesh.record.add(f"the last line that {nodes[0].machine} wrote: {last[:200]}")
     return served >= asked / 4, (f"of {asked} requests sent later than {RECOVER_S} s after the machines were back, "
                                  f"{served} were served; processes ended by themselves {sum(ends.values())} times")
 
