LibNode: Take the platform's figures in each form that it states them in

Cause: the slack was read as an unsigned whole number, one fault refuses the whole settings file, and a process without settings ends. The line in the log names the key ("$.retries.slack: must be a whole number"), which rules out anything later in the start.

The same cause elsewhere: cold_starts.slack; calls_per_second and maximum_descriptors; a cold overage below 1; bounds that are true or false; bounds that are missing because their contract isn't in force, with which the template rendered no JSON; weights of a route's parts; whole numbers written as 18.0; times in header fields with a fraction.

--- a/Libraries/LibBase/json_object_reader.cc
+++ b/Libraries/LibBase/json_object_reader.cc
@@ -1,12 +1,35 @@
 #include "LibBase/json_object_reader.h"
 
+#include <charconv>
+#include <cmath>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <utility>
 
 namespace wagtailmount {
 
 using nlohmann::json;
 
+namespace {
+
+/// A whole number may be written with a fraction of zero, as 64.0.
+std::optional<std::uint64_t> WholeNumberOf(const json& value) {
+  if (value.is_number_unsigned()) {
+    return value.get<std::uint64_t>();
+  }
+  constexpr double kHighestExact = 9007199254740992.0;  // 2 to the power of 53
+  if (!value.is_number_float()) {
+    return std::nullopt;
+  }
+  const double number = value.get<double>();
+  const bool is_whole =
+      number >= 0.0 && number <= kHighestExact && std::trunc(number) == number;
+  return is_whole ? std::optional{static_cast<std::uint64_t>(number)}
+                  : std::nullopt;
+}
+
+}  // namespace
+
 result<json> ParseJsonWithComments(std::string_view text) {
   auto document = ParseJsonDocument(text);
   if (document.has_value()) {
@@ -90,13 +113,13 @@
   if (member == nullptr) {
     return fallback;
   }
-  if (!member->is_number_unsigned() || member->get<std::uint64_t>() < lowest ||
-      member->get<std::uint64_t>() > highest) {
+  const std::optional<std::uint64_t> number = WholeNumberOf(*member);
+  if (!number || *number < lowest || *number > highest) {
     AddFault(key, "must be a whole number from " + std::to_string(lowest) +
                       " to " + std::to_string(highest));
     return fallback;
   }
-  return member->get<std::uint64_t>();
+  return *number;
 }
 
 double json_object_reader::OptionalFraction(std::string_view key,
@@ -115,6 +138,31 @@
   return member->get<double>();
 }
 
+double json_object_reader::OptionalFigure(std::string_view key, double fallback,
+                                          double lowest, double highest) {
+  const json* member = Find(key);
+  if (member == nullptr || member->is_boolean()) {
+    return fallback;
+  }
+  if (!member->is_string()) {
+    return OptionalFraction(key, fallback, lowest, highest);
+  }
+  const auto& text = member->get_ref<const std::string&>();
+  if (text.empty() || text == "true" || text == "false") {
+    return fallback;
+  }
+  double figure = 0.0;
+  const char* const end = text.data() + text.size();
+  const auto [after, status] = std::from_chars(text.data(), end, figure);
+  const bool is_valid = status == std::errc{} && after == end &&
+                        figure >= lowest && figure <= highest;
+  if (!is_valid) {
+    AddFault(key, "must be a number from " + std::to_string(lowest) + " to " +
+                      std::to_string(highest));
+  }
+  return is_valid ? figure : fallback;
+}
+
 bool json_object_reader::OptionalFlag(std::string_view key, bool fallback) {
   const json* member = Find(key);
   if (member == nullptr) {
--- a/Libraries/LibBase/json_object_reader.h
+++ b/Libraries/LibBase/json_object_reader.h
@@ -34,8 +34,13 @@
                                std::uint64_t highest);
   std::uint64_t OptionalNumber(std::string_view key, std::uint64_t fallback,
                                std::uint64_t lowest, std::uint64_t highest);
+  /// A whole number or a fraction from `lowest` to `highest`.
   double OptionalFraction(std::string_view key, double fallback, double lowest,
                           double highest);
+  /// The same, also as a text, as a template of the platform fills it in. True,
+  /// false and an empty text state no figure: `fallback` then stands.
+  double OptionalFigure(std::string_view key, double fallback, double lowest,
+                        double highest);
   bool OptionalFlag(std::string_view key, bool fallback);
   std::vector<std::string> OptionalTexts(std::string_view key);
 
--- a/Libraries/LibConfig/configuration.h
+++ b/Libraries/LibConfig/configuration.h
@@ -143,7 +143,7 @@
 /// divided by the sum of the weights.
 struct route_part {
   std::shared_ptr<const service> target;
-  std::uint32_t weight = 0;
+  double weight = 0.0;
 
   bool operator==(const route_part&) const = default;
 };
--- a/Libraries/LibLoad/retry_budget.h
+++ b/Libraries/LibLoad/retry_budget.h
@@ -7,8 +7,8 @@
 
 /// How many retries of one service all nodes together may make.
 struct fleet_retry_limits {
-  double share = 0.0;       ///< Part of the service's requests.
-  std::uint32_t slack = 0;  ///< Retries beyond that share.
+  double share = 0.0;  ///< Part of the service's requests.
+  double slack = 0.0;  ///< Retries beyond that share.
 };
 
 /// A token bucket that bounds the retries of one service to a share of its
--- a/Libraries/LibLoad/start_limits.cc
+++ b/Libraries/LibLoad/start_limits.cc
@@ -6,12 +6,11 @@
 namespace wagtailmount {
 
 std::optional<std::size_t> MostColdStarts(double requests_a_second,
-                                          double overage, std::uint32_t slack) {
+                                          double overage, double slack) {
   if (requests_a_second <= 0.0) {
     return std::nullopt;
   }
-  const double allowed =
-      std::floor(requests_a_second * std::max(1.0, overage) + slack);
+  const double allowed = std::floor(requests_a_second * overage + slack);
   return static_cast<std::size_t>(std::max(1.0, allowed - 1.0));
 }
 
--- a/Libraries/LibLoad/start_limits.h
+++ b/Libraries/LibLoad/start_limits.h
@@ -14,7 +14,7 @@
 /// that takes `requests_a_second`, exceeded by `overage` and `slack` at most;
 /// none if it sets no limit. One below the number that is allowed in a second.
 std::optional<std::size_t> MostColdStarts(double requests_a_second,
-                                          double overage, std::uint32_t slack);
+                                          double overage, double slack);
 
 /// The limits on how many requests start at a backend server as time passes:
 /// the rate that it names, and the window that applies while it is cold.
--- a/Libraries/LibNode/settings.cc
+++ b/Libraries/LibNode/settings.cc
@@ -9,10 +9,10 @@
 
 namespace {
 
-constexpr std::uint64_t kMaximumCallsPerSecond = 1'000'000;
+constexpr double kMaximumCallsPerSecond = 1e6;
 constexpr std::uint64_t kMaximumVms = 1'000'000;
 constexpr std::uint64_t kMaximumTrafficThreads = 64;
-constexpr std::uint64_t kMaximumDescriptors = 1'048'576;
+constexpr double kMaximumDescriptors = 1'048'576.0;
 constexpr double kMaximumLinkMegabits = 10e6;
 constexpr std::uint64_t kMaximumDrainGraceMs = 600'000;
 constexpr std::uint64_t kMaximumJoinWaitMs = 60'000;
@@ -123,8 +123,11 @@
   } else if (interface != kFolderInterface) {
     platform.AddFault("interface", "must be \"folder\" or \"catalog\"");
   }
-  settings.platform_calls_per_second = static_cast<std::uint32_t>(
-      platform.RequiredNumber("calls_per_second", 1, kMaximumCallsPerSecond));
+  if (!platform.Has("calls_per_second")) {
+    platform.AddFault("calls_per_second", "is missing");
+  }
+  settings.platform_calls_per_second = platform.OptionalFraction(
+      "calls_per_second", 1.0, 1.0, kMaximumCallsPerSecond);
   settings.expected_vms = static_cast<std::uint32_t>(
       platform.RequiredNumber("expected_vms", 1, kMaximumVms));
   platform.RefuseUnknownMembers();
@@ -151,12 +154,12 @@
     return;
   }
   constexpr double kMaximumRetryShare = 10.0;
-  constexpr std::uint64_t kMaximumRetrySlack = 1'000'000;
+  constexpr double kMaximumRetrySlack = 1e6;
   json_object_reader retries(*section, root.PathOf("retries"), faults);
-  settings.retry_share = retries.OptionalFraction("share", settings.retry_share,
-                                                  0.0, kMaximumRetryShare);
-  settings.retry_slack = static_cast<std::uint32_t>(retries.OptionalNumber(
-      "slack", settings.retry_slack, 0, kMaximumRetrySlack));
+  settings.retry_share = retries.OptionalFigure("share", settings.retry_share,
+                                                0.0, kMaximumRetryShare);
+  settings.retry_slack = retries.OptionalFigure("slack", settings.retry_slack,
+                                                0.0, kMaximumRetrySlack);
   retries.RefuseUnknownMembers();
 }
 
@@ -167,12 +170,12 @@
     return;
   }
   constexpr double kMaximumColdOverage = 10.0;
-  constexpr std::uint64_t kMaximumColdSlack = 1'000'000;
+  constexpr double kMaximumColdSlack = 1e6;
   json_object_reader cold(*section, root.PathOf("cold_starts"), faults);
-  settings.cold_overage = cold.OptionalFraction(
-      "overage", settings.cold_overage, 1.0, kMaximumColdOverage);
-  settings.cold_slack = static_cast<std::uint32_t>(
-      cold.OptionalNumber("slack", settings.cold_slack, 0, kMaximumColdSlack));
+  settings.cold_overage = cold.OptionalFigure("overage", settings.cold_overage,
+                                              0.0, kMaximumColdOverage);
+  settings.cold_slack =
+      cold.OptionalFigure("slack", settings.cold_slack, 0.0, kMaximumColdSlack);
   cold.RefuseUnknownMembers();
 }
 
@@ -201,8 +204,9 @@
       root.OptionalNumber("traffic_threads", 1, 1, kMaximumTrafficThreads));
   settings.link_megabits_per_second = root.OptionalFraction(
       "link_megabits_per_second", 0.0, 0.0, kMaximumLinkMegabits);
-  settings.maximum_descriptors = static_cast<std::uint32_t>(
-      root.OptionalNumber("maximum_descriptors", 0, 0, kMaximumDescriptors));
+  settings.maximum_descriptors =
+      static_cast<std::uint32_t>(root.OptionalFraction(
+          "maximum_descriptors", 0.0, 0.0, kMaximumDescriptors));
   settings.drain_grace = std::chrono::milliseconds(root.OptionalNumber(
       "drain_grace_ms", kDefaultDrainGraceMs, 0, kMaximumDrainGraceMs));
   ReadDrainGraceText(root, settings);
--- a/Libraries/LibNode/settings.h
+++ b/Libraries/LibNode/settings.h
@@ -37,10 +37,9 @@
   endpoint readiness;        ///< Listening address of the platform's readiness
                        ///< checks; only with platform_interface::kCatalog.
   platform_interface interface = platform_interface::kFolder;
-  std::vector<endpoint> platform;  ///< Addresses, tried in turn.
-  std::uint32_t platform_calls_per_second =
-      0;                           ///< Call rate that the platform allows
-                                   ///< to all readers together.
+  std::vector<endpoint> platform;        ///< Addresses, tried in turn.
+  double platform_calls_per_second = 0;  ///< Call rate that the platform allows
+                                         ///< to all readers together.
   std::uint32_t expected_vms = 0;  ///< Least fleet size for the read budget,
                                    ///< which is needed before the VMs are
                                    ///< known.
@@ -53,12 +52,12 @@
   /// Retry budget of all nodes together: a share of a service's requests, and a
   /// number of retries beyond that. Only with platform_interface::kCatalog.
   double retry_share = 0.1;
-  std::uint32_t retry_slack = 0;
+  double retry_slack = 0.0;
   /// How far the limit of a service on its cold backend servers may be
   /// exceeded: in a second, `cold_overage` times its rate and `cold_slack`
   /// requests. Only with platform_interface::kCatalog.
   double cold_overage = 1.0;
-  std::uint32_t cold_slack = 0;
+  double cold_slack = 0.0;
   std::chrono::milliseconds drain_grace{
       30'000};  ///< A planned stop does not wait longer for requests in flight.
   std::chrono::milliseconds join_wait{
--- a/Libraries/LibTraffic/backend_warmth.cc
+++ b/Libraries/LibTraffic/backend_warmth.cc
@@ -64,7 +64,7 @@
   if (!is_limited_) {
     return;
   }
-  const auto stated = ParseNumber(cold_time);
+  const auto stated = ParseMilliseconds(cold_time);
   if (!is_cold_ && !stated) {
     return;
   }
--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -306,7 +306,7 @@
     caller_deadline_ = begin_ + chosen.deadline;
     deadline_ = std::min(caller_deadline_, state_.answer_by.load());
     objective_ = begin_ + chosen.latency_objective;
-    const auto stated_ms = ParseNumber(
+    const auto stated_ms = ParseMilliseconds(
         FieldOf(parser_.get(), state_.settings.fields.caller_deadline));
     if (!stated_ms) {
       return;
--- a/Libraries/LibTraffic/header_fields.cc
+++ b/Libraries/LibTraffic/header_fields.cc
@@ -1,5 +1,6 @@
 #include "LibTraffic/header_fields.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
 #include <charconv>
@@ -55,6 +56,19 @@
   return value;
 }
 
+std::optional<std::uint64_t> ParseMilliseconds(std::string_view text) {
+  constexpr double kLongest = 1e15;
+  double value = 0.0;
+  const auto [end, status] = std::from_chars(
+      text.data(), text.data() + text.size(), value, std::chars_format::fixed);
+  // The comparison is false for NaN too.
+  const bool is_valid =
+      status == std::errc{} && end == text.data() + text.size() && value >= 0.0;
+  return is_valid ? std::optional{static_cast<std::uint64_t>(
+                        std::min(value, kLongest))}
+                  : std::nullopt;
+}
+
 void RemoveHopByHopFields(http::fields& fields) {
   if (fields.find(http::field::connection) != fields.end()) {
     for (const std::string& name : ListConnectionOptions(fields)) {
--- a/Libraries/LibTraffic/header_fields.h
+++ b/Libraries/LibTraffic/header_fields.h
@@ -79,6 +79,10 @@
 /// Parses an unsigned decimal integer; nothing if the text is anything else.
 std::optional<std::uint64_t> ParseNumber(std::string_view text);
 
+/// Parses a time in milliseconds, which may have a fraction; returns the whole
+/// ones.
+std::optional<std::uint64_t> ParseMilliseconds(std::string_view text);
+
 /// Removes the hop-by-hop fields (RFC 9110, 7.6.1) and the project's own
 /// fields, which begin with "Wagtailmount-".
 void RemoveHopByHopAndProjectFields(http::fields& fields);
--- a/Libraries/LibTraffic/request_start.cc
+++ b/Libraries/LibTraffic/request_start.cc
@@ -16,11 +16,11 @@
 
 const service& ChooseTargetByWeight(const route& chosen,
                                     random_source& random) {
-  std::uint64_t total_weight = 0;
+  double total_weight = 0.0;
   for (const route_part& part : chosen.parts) {
     total_weight += part.weight;
   }
-  std::uint64_t remaining_weight = random.Below(total_weight);
+  double remaining_weight = random.Fraction() * total_weight;
   for (const route_part& part : chosen.parts) {
     if (remaining_weight < part.weight) {
       return *part.target;
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -38,7 +38,7 @@
   /// How far the rate of a cold backend server may be exceeded; see
   /// node_settings.
   double cold_overage = 1.0;
-  std::uint32_t cold_slack = 0;
+  double cold_slack = 0.0;
   double link_megabits_per_second = 0.0;  ///< Of this VM; 0 if unknown.
   fleet_retry_limits retries;  ///< Share 0: each route's own policy applies.
 };
