LibCatalog: Count the age of a catalog from the platform's last answer

Cause: a watch that had been in flight for 0.4 to 1.7 s counted as a proof that nothing had changed. Nobody knows whether the platform has it or whether its answer will arrive. The reader told its followers that they were up to date, and they read for themselves 1 s after the last such word. Ruled out: followers that hear the reader's age and don't react; the lines catalog-not-fresh show that they act on the age told.

Now only an answer counts. Watches are shorter (1.2 s from the last answer), the reader tells each answer at once, and a follower reads 1.45 s after the answer that it relies on. A static assertion keeps the sum with a tick and a read below the limit.

The fixture of catalog_control_suite left its first watch unanswered and counted on that as a confirmation; it answers the watch now.

--- a/Libraries/LibCatalog/catalog_feed.cc
+++ b/Libraries/LibCatalog/catalog_feed.cc
@@ -9,12 +9,9 @@
 using std::chrono::duration_cast;
 using std::chrono::milliseconds;
 
-/// The platform has accepted a watch that has been in flight for this long: a
-/// refusal would have arrived by now.
-constexpr milliseconds kWatchAcceptedAfter{400};
-/// While an accepted watch is unanswered, the state held is the newest one. A
-/// watch without an answer after this time is overdue and proves nothing.
-constexpr milliseconds kWatchOverdueAfter{1'700};
+/// For a watch whose answer is overdue, so that one call tells of changes that
+/// come in quick succession.
+constexpr milliseconds kShortestWatch{100};
 
 }  // namespace
 
@@ -43,13 +40,20 @@
   return peer_fresh_at_ && now - *peer_fresh_at_ <= settings_.stale_after;
 }
 
+milliseconds catalog_feed::WatchWait(time_point now) const {
+  const auto age = Age(now);
+  const milliseconds left =
+      age ? settings_.longest_watch - *age : kShortestWatch;
+  return std::clamp(left, kShortestWatch, settings_.longest_watch);
+}
+
 void catalog_feed::Begin(time_point now, feed_call call) {
   in_flight_ = call;
   in_flight_since_ = now;
 }
 
 void catalog_feed::End(time_point now, const std::optional<error_kind>& failure,
-                       bool has_changes) {
+                       bool has_changes, milliseconds transfer) {
   const feed_call ended = in_flight_;
   in_flight_ = feed_call::kNone;
   if (failure == error_kind::kConflict) {
@@ -70,10 +74,11 @@
   needs_own_read_ = false;
   next_call_ = now;
   if (ended == feed_call::kWatch) {
-    fresh_at_ = now;
+    fresh_at_ = std::max(fresh_at_, std::optional{now - transfer});
     next_call_ = has_changes ? now + settings_.watch_pause : now;
   } else if (ended == feed_call::kList) {
-    fresh_at_ = now;
+    // A listing comes in pages and is as new as its first one.
+    fresh_at_ = std::max(fresh_at_, std::optional{in_flight_since_});
     needs_listing_ = false;
   } else if (ended == feed_call::kListUpstreams) {
     has_listed_upstreams_ = true;
@@ -112,12 +117,7 @@
 }
 
 std::optional<milliseconds> catalog_feed::Age(time_point now) const {
-  std::optional<time_point> fresh = std::max(fresh_at_, peer_fresh_at_);
-  const duration waiting = now - in_flight_since_;
-  if (in_flight_ == feed_call::kWatch && waiting >= kWatchAcceptedAfter &&
-      waiting < kWatchOverdueAfter) {
-    fresh = now;
-  }
+  const std::optional<time_point> fresh = std::max(fresh_at_, peer_fresh_at_);
   if (!fresh) {
     return std::nullopt;
   }
--- a/Libraries/LibCatalog/catalog_feed.h
+++ b/Libraries/LibCatalog/catalog_feed.h
@@ -25,16 +25,23 @@
 /// no peer sends them a recent state, so the load on the platform grows with
 /// the number of failure domains, not of nodes.
 ///
+/// The state counts as the platform's newest one only as of an answer of the
+/// platform. A call in flight proves nothing: the platform may not have it, or
+/// its answer may be lost.
+///
 /// When the platform has discarded its history of changes, followers wait for
 /// their reader's listing: if all nodes listed at once, their links would be
 /// saturated for a second and requests delayed.
 class catalog_feed {
  public:
   struct settings {
+    /// How old this node's state may become before a watch is answered, with
+    /// changes or without.
+    std::chrono::milliseconds longest_watch{1'200};
     /// A follower reads from the platform itself once the newest state known
-    /// from its peers is older than this. Half of the shortest limit for
-    /// propagating a leaving upstream, which is 2 s.
-    std::chrono::milliseconds stale_after{1'000};
+    /// from its peers is older than this: `longest_watch`, and a margin for the
+    /// ways of the answer and of the peer's message.
+    std::chrono::milliseconds stale_after{1'450};
     /// Pause between two watches, so that changes in quick succession cost one
     /// call. A tenth of the shortest limit for propagating a leaving upstream.
     std::chrono::milliseconds watch_pause{200};
@@ -57,7 +64,7 @@
     /// While calls of this node fail and it has not held the newest state for
     /// longer than this, the platform counts as unavailable. Above the age that
     /// states have in normal operation: `stale_after` and the time for a read.
-    std::chrono::milliseconds outage_after{1'400};
+    std::chrono::milliseconds outage_after{1'850};
     std::chrono::milliseconds first_backoff{150};
     std::chrono::milliseconds longest_backoff{600};
     /// For followers: several times as long as a reader's changes need to reach
@@ -65,6 +72,12 @@
     std::chrono::milliseconds longest_follower_backoff{2'000};
   };
 
+  /// The shortest limit of the platform for propagating a change: a leaving
+  /// upstream or a configuration.
+  static constexpr std::chrono::milliseconds kPropagationLimit{2'000};
+  /// What a read of changes takes: to connect, and an answer.
+  static constexpr std::chrono::milliseconds kReadTime{300};
+
   catalog_feed(settings chosen, std::uint64_t seed)
       : settings_(chosen), random_(seed) {}
 
@@ -75,13 +88,18 @@
   /// `complete_to` is the revision up to which this node's catalog is complete.
   feed_call NextCall(time_point now, std::uint64_t complete_to);
 
+  /// How long the platform may hold a watch that begins now. Short if the state
+  /// held is old or was never confirmed: its confirmation is then overdue.
+  std::chrono::milliseconds WatchWait(time_point now) const;
+
   /// Records that `call` has been sent.
   void Begin(time_point now, feed_call call);
 
   /// Records that the call in flight has ended; `failure` is empty if it
-  /// succeeded.
+  /// succeeded. `transfer` is how long a watch's answer took to arrive, from
+  /// its first bytes on: it tells the state of the time before.
   void End(time_point now, const std::optional<error_kind>& failure,
-           bool has_changes);
+           bool has_changes, std::chrono::milliseconds transfer = {});
 
   /// Records that this node holds the state which a peer knows to have been the
   /// platform's newest one `age` ago.
@@ -92,7 +110,7 @@
   void RequestOwnRead() { needs_own_read_ = true; }
 
   /// The time since this node last held the platform's newest state for
-  /// certain; none if it never did.
+  /// certain, as of an answer to itself or to a peer; none if it never did.
   std::optional<std::chrono::milliseconds> Age(time_point now) const;
 
   bool IsInFlight() const { return in_flight_ != feed_call::kNone; }
--- a/Libraries/LibCatalog/catalog_source.h
+++ b/Libraries/LibCatalog/catalog_source.h
@@ -27,6 +27,8 @@
   std::vector<catalog_item> items;
   std::uint64_t era = 0;  ///< If it isn't the era of the requested revision,
                           ///< changes may be missing.
+  /// How long the answer took to arrive, from its first bytes on.
+  std::chrono::milliseconds transfer{0};
 };
 
 /// Read-only access to the entries that the platform publishes. Each call
--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -15,7 +15,7 @@
 constexpr milliseconds kMaximumLinkBackoff{1'000};
 /// A catalog counts as fresh if it was confirmed by the platform at most this
 /// long ago: catalog_feed::settings::stale_after and the time for a read.
-constexpr milliseconds kMaximumFreshAge{1'400};
+constexpr milliseconds kMaximumFreshAge{1'850};
 /// How long a starting node waits for a confirmation that the configuration
 /// from a possibly stale listing is fresh before it serves anyway: a link's
 /// handshake or a platform call, and a margin.
@@ -24,11 +24,13 @@
 /// all VMs of its failure domain. Normally those open the links; when the whole
 /// fleet starts at once, all have done so by then.
 constexpr milliseconds kWholeDomainDelay{3'000};
-/// How long the platform may hold a watch open before it answers without
-/// changes. A watch that is lost without an error is noticed only after this,
-/// so it is below 2 s, the shortest time limit for reacting to a leaving
-/// upstream.
-constexpr milliseconds kWatchTimeout{1'500};
+// If the reader of a failure domain is cut off from the platform without an
+// error, the others know it by its silence alone: the last answer that it had
+// grows old, they read for themselves, and all that within the limit.
+static_assert(catalog_feed::settings{}.stale_after +
+                      catalog_control::kTickPeriod + catalog_feed::kReadTime <=
+                  catalog_feed::kPropagationLimit,
+              "a change is noticed too late while the reader is cut off");
 
 upstream_directory::settings DirectorySettings(const node_settings& settings) {
   upstream_directory::settings directory_settings;
@@ -199,7 +201,7 @@
 void catalog_control::Watch() {
   ++platform_calls_;
   source_.Watch(
-      catalog_.CompleteTo(), kWatchTimeout,
+      catalog_.CompleteTo(), feed_.WatchWait(clock_.Now()),
       [this, from = catalog_.Position()](result<catalog_changes> changes) {
         if (!changes) {
           RecordCallEnd(changes.error(), false);
@@ -213,7 +215,8 @@
         const auto changed =
             catalog_.ApplyUpdate({from.revision, changes->revision,
                                   std::move(changes->items), from.era});
-        RecordCallEnd(std::nullopt, !changed.empty());
+        RecordCallEnd(std::nullopt, !changed.empty(), changes->transfer);
+        next_state_at_ = clock_.Now();  // Peers rely on this answer too.
         ApplyChanges(changed);
       });
 }
@@ -248,11 +251,11 @@
 }
 
 void catalog_control::RecordCallEnd(const std::optional<error>& failure,
-                                    bool has_changes) {
+                                    bool has_changes, milliseconds transfer) {
   const time_point now = clock_.Now();
   const bool was_failing = feed_.IsFailing();
   feed_.End(now, failure ? std::optional{failure->kind} : std::nullopt,
-            has_changes);
+            has_changes, transfer);
   platform_failures_ += failure ? 1 : 0;
   if (failure) {
     log_.Add(log_line{"platform-call-failed"}
--- a/Libraries/LibNode/catalog_control.h
+++ b/Libraries/LibNode/catalog_control.h
@@ -119,7 +119,8 @@
   void ListFrom(const std::string& after_key, feed_call call);
   void HandlePage(result<catalog_page> page, feed_call call);
   void Watch();
-  void RecordCallEnd(const std::optional<error>& failure, bool has_changes);
+  void RecordCallEnd(const std::optional<error>& failure, bool has_changes,
+                     std::chrono::milliseconds transfer = {});
 
   void RecordOtherEra(std::uint64_t expected, std::uint64_t stated);
   void RecordPosition(catalog_position before);
--- a/Libraries/LibNode/catalog_control_peers.cc
+++ b/Libraries/LibNode/catalog_control_peers.cc
@@ -14,10 +14,9 @@
 
 using std::chrono::milliseconds;
 
-/// Heartbeat period on links from a reader to its failure domain. A node reads
-/// the platform itself after three missing heartbeats
-/// (catalog_feed::settings::stale_after).
-constexpr milliseconds kStatePeriod{300};
+/// Heartbeat period on links from a reader to its failure domain, beside the
+/// messages that it sends after each answer of the platform.
+constexpr milliseconds kStatePeriod{600};
 /// Heartbeat period on all other links, which nobody relies on for freshness:
 /// those to other failure domains and those of nodes that are not readers.
 constexpr milliseconds kSlowStatePeriod{900};
--- a/Tests/LibNode/catalog_control_parts.h
+++ b/Tests/LibNode/catalog_control_parts.h
@@ -117,6 +117,18 @@
     std::exchange(source.listing, nullptr)(page);
   }
 
+  // Answers the first watch, which tells no changes, and waits for the next.
+  void ConfirmListing(std::uint64_t revision) {
+    for (int tick = 0; tick < 20 && source.watch == nullptr; ++tick) {
+      Step(100ms);
+    }
+    BOOST_REQUIRE(source.watch != nullptr);
+    std::exchange(source.watch, nullptr)(catalog_changes{revision, {}, 4});
+    for (int tick = 0; tick < 5; ++tick) {
+      Step(100ms);
+    }
+  }
+
   // Ends the watch as the platform does that no longer has its revision, and
   // waits for the listing that follows.
   void EndWatchWith(result<catalog_changes> answer) {
