LibTraffic: Take no repeated refusal for the answer to a later request

What callers saw: a backend server writes an earlier refusal once more on a kept connection, and the next request there is answered 503, "not run", while it runs. It happened when the copy named no request, and when the refused request itself was sent again.

Cause: an answer without an id counted as the one to the request in flight, on a kept connection too; and an id can't tell two attempts of one request apart. Ruled out: copies that name another request, beside no request or before the next answer; they were skipped before.

Where backend servers state the id in each answer, one without it is taken only as the first on its connection. A request is not sent on a connection whose last exchange had its id.

--- a/Libraries/LibTraffic/exchange.cc
+++ b/Libraries/LibTraffic/exchange.cc
@@ -58,10 +58,14 @@
                         make_error_code(http::error::bad_status).category();
 }
 
-bool HasMatchingRequestId(const outgoing_request& request,
+bool HasMatchingRequestId(const http_connection& connection,
+                          const outgoing_request& request,
                           const http_response& answer, request_id_rule rule) {
   const std::string_view answer_id = FieldOf(answer, kRequestIdField);
-  return (answer_id.empty() && rule == request_id_rule::kOptional) ||
+  const bool may_be_missing =
+      rule == request_id_rule::kOptional ||
+      (rule == request_id_rule::kRequiredAfterFirst && !connection.is_reused);
+  return (answer_id.empty() && may_be_missing) ||
          answer_id == FieldOf(request.message, kRequestIdField);
 }
 
@@ -151,7 +155,7 @@
     result.outcome = attempt_outcome::kAnswerMalformed;
     co_return result;
   }
-  if (!HasMatchingRequestId(request, parser->get(), rules.id)) {
+  if (!HasMatchingRequestId(*connection, request, parser->get(), rules.id)) {
     result.outcome = attempt_outcome::kIdMismatch;
     co_return result;
   }
--- a/Libraries/LibTraffic/exchange.h
+++ b/Libraries/LibTraffic/exchange.h
@@ -32,6 +32,9 @@
 /// Whether an answer must repeat the request's "X-Request-Id".
 enum class request_id_rule : std::uint8_t {
   kOptional,  ///< May be missing, but not differ; for backend servers.
+  /// May be missing only in the first answer on a connection: a later answer
+  /// without it may repeat an earlier one.
+  kRequiredAfterFirst,
   kRequired,  ///< Must be present and equal; for other nodes.
 };
 
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -79,9 +79,17 @@
   const traffic_state& state = worker.state;
   const time_point now = state.clock.Now();
   worker.pool.TakeClosedIdleSince();  // Of another target.
+  const endpoint& backend_server = state.settings.backend_server;
+  const duration maximum_idle = MaximumIdle(incoming.request.message);
   std::unique_ptr<http_connection> connection =
-      worker.pool.Take(state.settings.backend_server, now,
-                       MaximumIdle(incoming.request.message));
+      worker.pool.Take(backend_server, now, maximum_idle);
+  // A second copy of the answer to an earlier attempt of this request, which
+  // may still come there, could not be told from the answer to this one.
+  while (connection != nullptr &&
+         connection->last_request_id ==
+             FieldOf(incoming.request.message, kRequestIdField)) {
+    connection = worker.pool.Take(backend_server, now, maximum_idle);
+  }
   if (const auto closed = worker.pool.TakeClosedIdleSince()) {
     worker.state.warmth.RecordConnectionLost(*closed);
   }
@@ -303,7 +311,8 @@
   const time_point alive_at = connection->idle_since;
   attempt_result result = co_await Exchange(
       connection, incoming.request, incoming.deadline, state.clock,
-      {.id = request_id_rule::kOptional,
+      {.id = fields.states_request_id ? request_id_rule::kRequiredAfterFirst
+                                      : request_id_rule::kOptional,
        .may_end_with_connection = fields.may_end_with_connection},
       incoming.watch);
   RecordWarmth(state, incoming, result, opened_at, alive_at, now);
--- a/Libraries/LibTraffic/request_fields.h
+++ b/Libraries/LibTraffic/request_fields.h
@@ -35,6 +35,9 @@
   /// Whether a backend server's answer may have no length and end when the
   /// connection is closed. A reset counts as truncation.
   bool may_end_with_connection = false;
+  /// Whether backend servers state the request's id in each answer. On a kept
+  /// connection, an answer without it is then taken for a repeated one.
+  bool states_request_id = false;
 };
 
 }  // namespace wagtailmount
