--- a/Libraries/LibNode/catalog_control.h
+++ b/Libraries/LibNode/catalog_control.h
@@ -96,11 +96,14 @@
 
  private:
   /// A decoded catalog entry, kept so that it is decoded again only when its
-  /// revision changes. `record` is empty if the entry is invalid.
+  /// revision changes. If the entry is invalid, `record` is what it held while
+  /// it was valid, or empty.
   struct decoded_upstream {
     std::uint64_t revision = 0;
+    std::uint64_t created = 0;
     /// What was decoded: a restored platform gives a revision out again.
     std::shared_ptr<const std::string> content;
+    bool is_readable = true;
     std::optional<upstream_record> record;
   };
 
@@ -128,6 +131,7 @@
   void ApplyConfiguration();
   void LogWarnings();
   void ApplyUpstreams();
+  void LogUnreadable(const catalog_item& item, std::string_view reason);
   bool IsEvacuation(std::string_view key) const;
   void ApplyEvacuations();
   void PublishIfChanged();
--- a/Libraries/LibNode/catalog_control_apply.cc
+++ b/Libraries/LibNode/catalog_control_apply.cc
@@ -120,13 +120,23 @@
   }
 }
 
+// The reason may quote the entry, which may be long.
+void catalog_control::LogUnreadable(const catalog_item& item,
+                                    std::string_view reason) {
+  constexpr std::size_t kLongestReason = 300;
+  log_.Add(log_line{"upstream-unreadable"}
+               .Text("key", item.key)
+               .Text("reason", reason.substr(0, kLongestReason)));
+}
+
 void catalog_control::ApplyUpstreams() {
   std::vector<registered_upstream> registered;
   std::map<std::string, decoded_upstream, std::less<>> decoded;
   for (const catalog_item* const item :
        catalog_.ItemsUnder(format_.upstream_prefix)) {
     const auto before = decoded_upstreams_.find(item->key);
-    decoded_upstream read{item->revision, item->content, std::nullopt};
+    decoded_upstream read{item->revision, item->created, item->content, true,
+                          std::nullopt};
     if (before != decoded_upstreams_.end() &&
         before->second.revision == item->revision &&
         *before->second.content == *item->content) {
@@ -134,10 +144,18 @@
     } else if (auto record = format_.read_upstream(*item)) {
       read.record = *std::move(record);
     } else {
-      // An invalid entry is skipped and does not affect the other upstreams.
-      log_.Add(log_line{"upstream-unreadable"}
-                   .Text("key", item->key)
-                   .Text("reason", record.error().message));
+      // An invalid entry is skipped and does not affect the other upstreams. If
+      // it overwrites one that was valid, that one tells more.
+      read.is_readable = false;
+      const bool is_overwritten = before != decoded_upstreams_.end() &&
+                                  before->second.created == item->created;
+      if (is_overwritten) {
+        read.record = before->second.record;
+      }
+      // Told once, however often it is written.
+      if (!is_overwritten || before->second.is_readable) {
+        LogUnreadable(*item, record.error().message);
+      }
     }
     if (read.record) {
       registered.push_back({*read.record, item->created, item->revision});
--- a/Tests/LibNode/catalog_control_parts.h
+++ b/Tests/LibNode/catalog_control_parts.h
@@ -72,6 +72,9 @@
 
 inline result<upstream_record> ReadState(const catalog_item& item) {
   const auto space = item.content->find(' ');
+  if (space == std::string::npos) {
+    return Fail(error_kind::kInvalidInput, "unreadable");
+  }
   upstream_record record;
   record.id = item.key.substr(2);
   record.service = "ledger";
--- a/Tests/LibNode/test_catalog_control.cc
+++ b/Tests/LibNode/test_catalog_control.cc
@@ -173,6 +173,21 @@
   BOOST_TEST((published->Own()->cold_stated_at > before));
 }
 
+// Guards against an upstream that is taken for gone, and stays so when it
+// writes again, because somebody wrote over its entry. The log tells it once.
+BOOST_AUTO_TEST_CASE(AnUnreadableWriteOverAnEntryTakesNoUpstreamOutOfUse) {
+  for (std::uint64_t revision = 21; revision < 31; ++revision) {
+    EndWatchWith(
+        catalog_changes{revision, {Entry("s/i-2", revision, "unreadable")}, 4});
+    Step(300ms);
+  }
+  BOOST_TEST(Available() == "i-1 i-2 ");
+  BOOST_TEST(Logged("upstream-unreadable") == 1);
+  EndWatchWith(
+      catalog_changes{31, {Entry("s/i-2", 31, "10.0.0.2 draining")}, 4});
+  BOOST_TEST(Available() == "i-1 ");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 // A node that starts again: its first listing may be seconds old and show i-2
--- a/Tests/Process/catalog_stand_ins.py
+++ b/Tests/Process/catalog_stand_ins.py
@@ -8,6 +8,8 @@
 import time
 import urllib.parse
 
+PAGE_ITEMS, PAGE_BYTES = 500, 1 << 20  # Of one page, at most.
+
 
 class Answering(http.server.BaseHTTPRequestHandler):
     """Answers over kept connections and prints nothing."""
@@ -92,7 +94,10 @@
         self._server = Server(address, Handler)
 
     def write(self, key, document):
-        value = base64.b64encode(json.dumps(document).encode()).decode()
+        self.write_bytes(key, json.dumps(document).encode())
+
+    def write_bytes(self, key, content):
+        value = base64.b64encode(content).decode()
         with self._changed:
             self._revision += 1
             created = self._items.get(key, {}).get("created") or self._revision  # Removals have none.
@@ -125,7 +130,13 @@
         with self._changed:
             items = [self._items[key] for key in sorted(self._items)
                      if key > after and not self._items[key].get("removed")]
-            return {"items": items, "has-more": False, "at-rev": self._revision}
+            page, size = [], 0
+            for item in items:
+                size += len(item["value"])
+                if page and (len(page) == PAGE_ITEMS or size > PAGE_BYTES):
+                    break
+                page.append(item)
+            return {"items": page, "has-more": len(page) < len(items), "at-rev": self._revision}
 
     def watch(self, after, wait):
         """What changed after a revision; None if that is not one of this era."""
