--- a/Libraries/LibTraffic/backend_warmth.h
+++ b/Libraries/LibTraffic/backend_warmth.h
@@ -20,7 +20,7 @@
  public:
   /// `log` may be null. `overage` and `slack`: see traffic_settings.
   backend_warmth(const runtime_clock& clock, structured_log* log,
-                 backend_gate& gate, double overage, std::uint32_t slack)
+                 backend_gate& gate, double overage, double slack)
       : clock_(clock),
         log_(log),
         gate_(gate),
@@ -59,7 +59,7 @@
   structured_log* const log_;
   backend_gate& gate_;
   const double overage_;
-  const std::uint32_t slack_;
+  const double slack_;
   const time_point started_at_;
   std::mutex mutex_;
   cold_start_judge judge_;
