LibTraffic: Close the kept connections to nodes that have left

Cause: idle connections to other nodes were looked at only when one to the same address was taken or lost; to a node that has left none is taken any more. Nothing bounded their number.

Once a second the pool closes what has been idle for too long, and what targets out of use have closed, with one system call for each.

--- a/Libraries/LibTraffic/connection_pool.cc
+++ b/Libraries/LibTraffic/connection_pool.cc
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/this_coro.hpp>
@@ -17,6 +18,33 @@
 /// A connection that the peer is about to close for being idle is not used: the
 /// close could cross the request.
 constexpr std::chrono::milliseconds kIdleTimeoutMargin{100};
+/// How often unused connections are looked for, and how long after its last
+/// exchange a target counts as not in use. While it is in use, Take() finds the
+/// closed ones.
+constexpr std::chrono::seconds kUnusedInterval{1};
+
+using idle_connections = std::vector<std::unique_ptr<http_connection>>;
+
+// Erases the connections that the peer has closed, or on which it has sent
+// something. Asks for all of them in one system call.
+void EraseUnusable(idle_connections& connections) {
+  std::vector<pollfd> polled;
+  polled.reserve(connections.size());
+  for (const auto& connection : connections) {
+    pollfd each{};
+    each.fd = connection->stream.socket().native_handle();
+    each.events = POLLIN | POLLRDHUP;
+    polled.push_back(each);
+  }
+  if (::poll(polled.data(), polled.size(), 0) <= 0) {
+    return;
+  }
+  std::size_t at = 0;
+  std::erase_if(connections, [&](const auto& connection) {
+    const bool has_event = polled[at++].revents != 0;
+    return has_event || connection->buffer.size() > 0;
+  });
+}
 
 }  // namespace
 
@@ -72,6 +100,36 @@
   }
 }
 
+void connection_pool::CloseUnused(time_point now, duration maximum_idle,
+                                  const endpoint& except) {
+  if (now < next_close_at_) {
+    return;
+  }
+  next_close_at_ = now + kUnusedInterval;
+  for (auto& [target, connections] : idle_) {
+    if (connections.empty() || target == except) {
+      continue;
+    }
+    const bool is_in_use =
+        now - connections.back()->idle_since < kUnusedInterval;
+    std::erase_if(connections, [&](const auto& connection) {
+      return now - connection->idle_since > maximum_idle;
+    });
+    if (!is_in_use) {
+      EraseUnusable(connections);
+    }
+  }
+  std::erase_if(idle_, [](const auto& each) { return each.second.empty(); });
+}
+
+std::size_t connection_pool::Size() const {
+  std::size_t count = 0;
+  for (const auto& [target, connections] : idle_) {
+    count += connections.size();
+  }
+  return count;
+}
+
 task<std::unique_ptr<http_connection>> Connect(const endpoint& target,
                                                duration connect_timeout,
                                                error_code& failure) {
--- a/Libraries/LibTraffic/connection_pool.h
+++ b/Libraries/LibTraffic/connection_pool.h
@@ -37,6 +37,16 @@
   /// cut off, and each of them would cost a request its deadline.
   void CloseIdleSince(const endpoint& target, time_point since);
 
+  /// Closes, at most once a second, the idle connections that are of no use any
+  /// more: those idle for longer than `maximum_idle`, and those to a target
+  /// that is not in use now and has closed them, as a node does that has left.
+  /// Leaves out `except`, whose closed connections Take() reports.
+  void CloseUnused(time_point now, duration maximum_idle,
+                   const endpoint& except);
+
+  /// How many idle connections there are.
+  std::size_t Size() const;
+
   /// The clock of the node at `target`, as far as its answers have shown it.
   /// Kept beyond its connections: a request on a new connection may lie unread
   /// there for longest.
@@ -44,7 +54,9 @@
 
  private:
   std::optional<time_point> closed_idle_since_;
+  /// By target, the one that has been idle for longest first.
   std::map<endpoint, std::vector<std::unique_ptr<http_connection>>> idle_;
+  time_point next_close_at_{};
   /// One for each node ever called, which is few enough to keep.
   std::map<endpoint, peer_clock> clocks_;
 };
--- a/Libraries/LibTraffic/owner_call.cc
+++ b/Libraries/LibTraffic/owner_call.cc
@@ -154,6 +154,8 @@
   } else if (IsUnanswered(result.outcome) && !watch.IsCancelled()) {
     worker.pool.CloseIdleSince(owner.hop, begin);
   }
+  worker.pool.CloseUnused(clock.Now(), kMaximumHopIdle,
+                          worker.state.settings.backend_server);
   if (result.answer) {
     MergeCrashReports(worker.state, incoming.request,
                       FieldOf(result.answer->message, kCrashesField));
