--- a/Tests/LibTraffic/test_quarantine.cc
+++ b/Tests/LibTraffic/test_quarantine.cc
@@ -125,6 +125,37 @@
   BOOST_TEST(Crashes() == 2);
 }
 
+// Callers send it at several nodes at once, before any node knows of a crash;
+// the backend servers come back and must not be lost again.
+BOOST_AUTO_TEST_CASE(ARequestThatComesAtManyNodesAtOnceIsStoppedAfterwards) {
+  std::vector<std::thread> callers;
+  for (int number = 0; number < 4; ++number) {
+    callers.emplace_back([this, number] {
+      Call(Nodes()[number]->caller_address, "GET", "/lethal", kCrash);
+    });
+  }
+  for (std::thread& caller : callers) {
+    caller.join();
+  }
+  BOOST_TEST(Crashes() >= 2);
+  SpreadReports();
+  for (int number = 1; number <= kOwners; ++number) {
+    if (Owner(number).backend_server->HasCrashed()) {
+      RestartBackendServer(number);
+    }
+  }
+  const int runs = Runs();
+  for (int round = 0; round < 3; ++round) {
+    for (test_vm* const each : Nodes()) {
+      const auto refused = Call(each->caller_address, "GET", "/lethal", kCrash);
+      BOOST_TEST(refused.status == 503);
+      BOOST_TEST(refused.Field("Wagtailmount-Verdict") == "not-run");
+    }
+  }
+  BOOST_TEST(Runs() == runs);
+  BOOST_TEST(Crashes() == 0);
+}
+
 // Another target, body or method is another request.
 BOOST_AUTO_TEST_CASE(RequestsThatDifferFromOneInQuarantineAreServed) {
   Call(Entry().caller_address, "GET", "/lethal", kCrash, "body");
