Soak: Start no backend server while a process is being started

Cause: the step binds the address of the start that it has just ended, at 17.2 s, in the moment in which a node that was killed at 16.7 s is started again. The new process holds a copy of the old listening socket until it runs its program. Ruled out: the other soak (its ports are 25981 to 25986, this one's 25635 to 25640).

The two are done one after the other now.

--- a/Tests/Soak/soak_fleet.py
+++ b/Tests/Soak/soak_fleet.py
@@ -210,6 +210,9 @@
         self.backends = []  # Every start there was.
         self.on_backend_crash = None  # Called with the node and the start that crashed.
         self.lock = threading.Lock()
+        # A process that starts holds, until it runs its program, a copy of each listening socket: no address can be
+        # used again meanwhile.
+        self._forking = threading.Lock()
         self.publish()
         self.nodes = [SoakNode(number, numbers, self.folder, self.store) for number in range(size)]
         # Processes end with the thread that started them.
@@ -219,7 +222,8 @@
             self.start_node(node)
 
     def start_node(self, node):
-        self._starter.submit(node.start).result()
+        with self._forking:
+            self._starter.submit(node.start).result()
 
     def publish(self):
         """Puts a version in the store whose only new route names it; returns version and time."""
@@ -233,8 +237,9 @@
         with self.lock:
             self.starts += 1
             identity = f"i-{self.starts:04d}"
-        node.backend = BackendServer(identity, f"{node.vm}:{node.ports['backend']}", node.service,
-                                     f"{self.seed}-{identity}")
+        with self._forking:
+            node.backend = BackendServer(identity, f"{node.vm}:{node.ports['backend']}", node.service,
+                                         f"{self.seed}-{identity}")
         node.backend.on_crash = lambda gone: self.on_backend_crash and self.on_backend_crash(node, gone)
         self.backends.append(node.backend)
         self.store.write(f"servers/{identity}", node.backend.entry(node.domain))
