--- a/Libraries/LibCatalog/catalog_feed.h
+++ b/Libraries/LibCatalog/catalog_feed.h
@@ -35,12 +35,12 @@
 class catalog_feed {
  public:
   struct settings {
-    /// How old this node's state may become before a watch is answered, with
+    /// A watch is answered before the state held is older than this, with
     /// changes or without.
     std::chrono::milliseconds longest_watch{1'200};
     /// A follower reads from the platform itself once the newest state known
     /// from its peers is older than this: `longest_watch`, and a margin for the
-    /// ways of the answer and of the peer's message.
+    /// delays of the answer and of the peer's message.
     std::chrono::milliseconds stale_after{1'450};
     /// Pause between two watches, so that changes in quick succession cost one
     /// call. A tenth of the shortest limit for propagating a leaving upstream.
--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -25,8 +25,8 @@
 /// fleet starts at once, all have done so by then.
 constexpr milliseconds kWholeDomainDelay{3'000};
 // If the reader of a failure domain is cut off from the platform without an
-// error, the others know it by its silence alone: the last answer that it had
-// grows old, they read for themselves, and all that within the limit.
+// error, its followers only see the last answer grow old. They have to notice
+// that, and to read for themselves, within the limit.
 static_assert(catalog_feed::settings{}.stale_after +
                       catalog_control::kTickPeriod + catalog_feed::kReadTime <=
                   catalog_feed::kPropagationLimit,
