LibLoad: Keep the grace period of a leaving within the platform's limit

What callers may have seen: an owner whose reader is cut off from the store learns of its backend server's leaving up to 1.85 s after it, and then went on starting, for 0.8 s, what was queued there or placed there by others: 2.65 s where 2.0 s are allowed.

Cause: moved the latest moment at which a node learns of a change from 1.2 s, for which the 0.8 s were the rest, to 1.85 s, and nothing tied the two figures together. Found by reading every start once more. Ruled out: the check itself, which is the last thing before a request is written, after the slot and the connection; evacuations, which have no grace period.

The grace period is 0.15 s. The latest moment is one constant now, catalog_control::kLongestUnnoticed, and a static assertion keeps the sum with the grace period within the limit: with 0.8 s the build fails ("a request may start too late at a leaving backend server").

Before: 1.85 s + 0.8 s. After: 1.85 s + 0.15 s.

--- a/Libraries/LibLoad/start_check.cc
+++ b/Libraries/LibLoad/start_check.cc
@@ -1,19 +1,7 @@
 #include "LibLoad/start_check.h"
 
-#include <chrono>
-
 namespace wagtailmount {
 
-namespace {
-
-/// How long an owner still starts requests after learning that its backend
-/// server is leaving. The strictest limit for new work after leaving is 2 s,
-/// and a node whose reader is gone learns of it up to 1.2 s late, which leaves
-/// 0.8 s.
-constexpr std::chrono::milliseconds kLeavingGracePeriod{800};
-
-}  // namespace
-
 refusal_cause CauseNotToStart(time_point now,
                               const start_conditions& conditions) {
   if (conditions.has_requester_left) {
--- a/Libraries/LibLoad/start_check.h
+++ b/Libraries/LibLoad/start_check.h
@@ -1,10 +1,18 @@
 #pragma once
 
+#include <chrono>
+
 #include "LibBase/clock.h"
 #include "LibLoad/attempt_outcome.h"
 
 namespace wagtailmount {
 
+/// How long an owner still starts requests after learning that its backend
+/// server is leaving, of those that were sent before others learned of it. It
+/// may learn that late itself, and both together are within the platform's
+/// limit for a leaving backend server.
+inline constexpr std::chrono::milliseconds kLeavingGracePeriod{150};
+
 /// What is known about a request, and about the backend server, at the moment
 /// before the request is written to the backend server.
 struct start_conditions {
--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibLoad/start_check.h"
+
 namespace wagtailmount {
 
 namespace {
@@ -14,8 +16,8 @@
 constexpr milliseconds kLinkSilenceTimeout{1'800};
 constexpr milliseconds kMaximumLinkBackoff{1'000};
 /// A catalog counts as fresh if it was confirmed by the platform at most this
-/// long ago: catalog_feed::settings::stale_after and the time for a read.
-constexpr milliseconds kMaximumFreshAge{1'850};
+/// long ago.
+constexpr milliseconds kMaximumFreshAge = catalog_control::kLongestUnnoticed;
 /// How long a starting node waits for a confirmation that the configuration
 /// from a possibly stale listing is fresh before it serves anyway: a link's
 /// handshake or a platform call, and a margin.
@@ -24,13 +26,10 @@
 /// all VMs of its failure domain. Normally those open the links; when the whole
 /// fleet starts at once, all have done so by then.
 constexpr milliseconds kWholeDomainDelay{3'000};
-// If the reader of a failure domain is cut off from the platform without an
-// error, its followers only see the last answer grow old. They have to notice
-// that, and to read for themselves, within the limit.
-static_assert(catalog_feed::settings{}.stale_after +
-                      catalog_control::kTickPeriod + catalog_feed::kReadTime <=
+// What was placed before a leaving was noticed may start a while longer.
+static_assert(catalog_control::kLongestUnnoticed + kLeavingGracePeriod <=
                   catalog_feed::kPropagationLimit,
-              "a change is noticed too late while the reader is cut off");
+              "a request may start too late at a leaving backend server");
 
 upstream_directory::settings DirectorySettings(const node_settings& settings) {
   upstream_directory::settings directory_settings;
--- a/Libraries/LibNode/catalog_control.h
+++ b/Libraries/LibNode/catalog_control.h
@@ -60,6 +60,13 @@
   void Tick();
   static constexpr std::chrono::milliseconds kTickPeriod{100};
 
+  /// How late a node that reaches the platform may learn of a change, at most:
+  /// its reader is cut off without an error, so that only the last answer grows
+  /// old, until the node notices that and reads for itself.
+  static constexpr std::chrono::milliseconds kLongestUnnoticed =
+      catalog_feed::settings{}.stale_after + kTickPeriod +
+      catalog_feed::kReadTime;
+
   /// True once a configuration is in force that was confirmed as fresh, or for
   /// which the wait for a confirmation has timed out. It stays true.
   bool IsServing() const { return is_serving_; }
--- a/Tests/LibNode/test_catalog_control.cc
+++ b/Tests/LibNode/test_catalog_control.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "LibLoad/start_check.h"
 #include "Tests/LibNode/catalog_control_parts.h"
 
 namespace wagtailmount {
@@ -173,6 +174,22 @@
   BOOST_TEST((published->Own()->cold_stated_at > before));
 }
 
+// Guards against an owner that learns late of a leaving, its reader being cut
+// off, and then goes on starting what was placed there until past the limit.
+BOOST_AUTO_TEST_CASE(NothingStartsPastTheLimitHoweverLateALeavingIsLearned) {
+  const time_point acknowledged = clock.Now();
+  const time_point learned = acknowledged + catalog_control::kLongestUnnoticed;
+  const auto cause_at = [&](time_point now) {
+    return CauseNotToStart(now, {.deadline = now + 1s,
+                                 .has_requester_left = false,
+                                 .leaving_since = learned,
+                                 .is_evacuated = false});
+  };
+  const time_point limit = acknowledged + catalog_feed::kPropagationLimit;
+  BOOST_TEST((cause_at(learned + 1ms) == refusal_cause::kNone));
+  BOOST_TEST((cause_at(limit + 1ms) == refusal_cause::kDraining));
+}
+
 // Guards against an upstream that is taken for gone, and stays so when it
 // writes again, because somebody wrote over its entry. The log tells it once.
 BOOST_AUTO_TEST_CASE(AnUnreadableWriteOverAnEntryTakesNoUpstreamOutOfUse) {
