--- a/Tests/Process/test_settings_forms.py
+++ b/Tests/Process/test_settings_forms.py
@@ -25,11 +25,12 @@
     """Fills in the template as the platform does; `fields` holds the text of each value."""
     text = (ROOT / "deploy" / "settings.template").read_text()
 
-    def is_set(name):
-        return fields.get(name, "false") != "false"
+    def section(found):
+        is_set = fields.get(found.group(1), "false") != "false"
+        return found.group(2) if is_set else ""
 
-    text = re.sub(r"\{\{#([^}]+)\}\}(.*?)\{\{/\1\}\}", lambda found: found.group(2) if is_set(found.group(1)) else "",
-                  text, flags=re.S)
+    while "{{#" in text:  # Sections may hold sections.
+        text = re.sub(r"\{\{#([^}]+)\}\}(.*?)\{\{/\1\}\}", section, text, flags=re.S)
     return re.sub(r"\{\{([^}]+)\}\}", lambda found: fields.get(found.group(1), ""), text)
 
 
