LibNode: Answer everything before a planned stop ends, whatever the grace period

Callers of a stopping node lost requests in three ways: (a) a request that was read before the signal, and waited in a queue here or at another node or ran, kept its own deadline and lost its connection with the process; (b) with a short grace period the node gave up, with a 504 of its own, on requests at which an upstream was at work well before the last sixth of the period; (c) new requests were refused only once the control thread had its turn.

Cause: the stop bounded what is decided after the signal (requests read, attempts begun), not what is under way; its times did not depend on the grace period, and were looked at by the control thread's timer. All are of one class: a time that ends a request was taken from elsewhere than from the request and the process.

Ruled out: refusals that are lost on the way (the reset and end of each connection are told apart by the test); a slow end of the process (it ended within the period each time).

Now the schedule follows from the grace period and is kept to even if the settings change meanwhile; each thread withdraws what it still serves when the last answers are due, which ends an exchange as its deadline does (no sign of a crash or of a cold backend server) and refuses what is queued as not run; and the request path refuses by the time. The folder interface, which cut at the end of its grace period, has the same bound.

WhatBeganBeforeAStopIsAnsweredBeforeTheEnd and AStoppingNodeRefusesRequestsByTheTime show it without processes; the tests of the schedule keep their bounds and hold for more periods.

--- a/Libraries/LibNode/catalog_node.cc
+++ b/Libraries/LibNode/catalog_node.cc
@@ -156,7 +156,10 @@
 void catalog_node::BeginStop() {
   is_stopping_ = true;
   stop_began_ = clock_.Now();
-  traffic_->BeginStop(stop_began_ + AnswerPeriod(settings_.drain_grace));
+  // Kept to, even if the settings change meanwhile.
+  stop_schedule_ = MakeStopSchedule(settings_.drain_grace);
+  traffic_->BeginStop({.drain_from = stop_began_ + stop_schedule_.drain_at,
+                       .answer_by = stop_began_ + stop_schedule_.answer_by});
   log_.Add(log_line{"stop-begun"}
                .Number("in_flight", static_cast<std::int64_t>(
                                         traffic_->Counters().in_flight))
@@ -168,7 +171,7 @@
     return;
   }
   const duration elapsed = clock_.Now() - stop_began_;
-  switch (StopPhaseAt(elapsed, settings_.drain_grace, traffic_->IsIdle())) {
+  switch (StopPhaseAt(elapsed, stop_schedule_, traffic_->IsIdle())) {
     case stop_phase::kNotice:
       break;
     case stop_phase::kDrain:
--- a/Libraries/LibNode/catalog_node.h
+++ b/Libraries/LibNode/catalog_node.h
@@ -15,6 +15,7 @@
 #include "LibNode/catalog_control.h"
 #include "LibNode/platform_adapter.h"
 #include "LibNode/settings.h"
+#include "LibNode/stop_schedule.h"
 #include "LibTraffic/traffic_server.h"
 
 namespace wagtailmount {
@@ -71,6 +72,7 @@
   bool is_stopping_ = false;
   bool is_clean_ = true;
   time_point stop_began_;
+  stop_schedule stop_schedule_;
 };
 
 }  // namespace wagtailmount
--- a/Libraries/LibNode/node.cc
+++ b/Libraries/LibNode/node.cc
@@ -6,6 +6,7 @@
 #include <csignal>
 #include <utility>
 
+#include "LibNode/stop_schedule.h"
 #include "LibNode/traffic_start.h"
 
 namespace wagtailmount {
@@ -131,6 +132,9 @@
   drain_began_ = clock_.Now();
   control_->BeginDrain();
   traffic_->BeginLeaving();
+  const duration answer_period =
+      MakeStopSchedule(settings_.drain_grace).answer_by;
+  traffic_->BeginStop({.answer_by = drain_began_ + answer_period});
 }
 
 void node::ContinueDrain() {
--- a/Libraries/LibNode/stop_schedule.cc
+++ b/Libraries/LibNode/stop_schedule.cc
@@ -1,5 +1,7 @@
 #include "LibNode/stop_schedule.h"
 
+#include <algorithm>
+
 namespace wagtailmount {
 
 namespace {
@@ -19,22 +21,43 @@
 /// How long an answer that was given by another node at the last moment, such
 /// as a refusal from its queue, may take to reach the caller.
 constexpr milliseconds kLastAnswerMargin{150};
+/// The part of the grace period in which work may be broken off is its last
+/// sixth; the signal to stop may take this long to be handled.
+constexpr int kLastPartDivisor = 6;
+constexpr milliseconds kLastPartMargin{50};
+/// In a short grace period, answers get this part of the time after they are
+/// due, and the end of the process the rest.
+constexpr int kLastAnswerDivisor = 3;
 
 }  // namespace
 
-stop_phase StopPhaseAt(duration elapsed, milliseconds grace, bool is_idle) {
-  if (elapsed >= kCallerNoticePeriod + kLastRequestPeriod && is_idle) {
+stop_schedule MakeStopSchedule(milliseconds grace) {
+  const duration period = grace;
+  const duration last_part =
+      period - period / kLastPartDivisor + kLastPartMargin;
+  const duration answer_by = std::min(
+      period,
+      std::max<duration>(period - kCutMargin - kLastAnswerMargin, last_part));
+  const duration cut_at =
+      answer_by + std::min<duration>(kLastAnswerMargin,
+                                     (period - answer_by) / kLastAnswerDivisor);
+  const duration drain_at = std::min<duration>(kCallerNoticePeriod, answer_by);
+  return {.drain_at = drain_at,
+          .close_at = std::min<duration>(drain_at + kLastRequestPeriod, cut_at),
+          .answer_by = answer_by,
+          .cut_at = cut_at};
+}
+
+stop_phase StopPhaseAt(duration elapsed, const stop_schedule& schedule,
+                       bool is_idle) {
+  if (elapsed >= schedule.close_at && is_idle) {
     return stop_phase::kClose;
   }
-  if (elapsed >= grace - kCutMargin) {
+  if (elapsed >= schedule.cut_at) {
     return stop_phase::kCut;
   }
-  return elapsed >= kCallerNoticePeriod ? stop_phase::kDrain
-                                        : stop_phase::kNotice;
-}
-
-duration AnswerPeriod(milliseconds grace) {
-  return grace - kCutMargin - kLastAnswerMargin;
+  return elapsed >= schedule.drain_at ? stop_phase::kDrain
+                                      : stop_phase::kNotice;
 }
 
 }  // namespace wagtailmount
--- a/Libraries/LibNode/stop_schedule.h
+++ b/Libraries/LibNode/stop_schedule.h
@@ -15,14 +15,24 @@
   kCut,     ///< The grace period ends: breaks off what is in flight.
 };
 
-/// Returns what a node does `elapsed` after it was told to stop. It cuts early
-/// enough to end by itself within `grace`, also where a process on a small
-/// share of a core gets no turn for some tenths of a second.
-stop_phase StopPhaseAt(duration elapsed, std::chrono::milliseconds grace,
-                       bool is_idle);
+/// When a stopping node does what, counted from the signal to stop. All lie
+/// within the grace period, in this order, except that the answers may be due
+/// before the idle connections are closed.
+struct stop_schedule {
+  duration drain_at{};   ///< Refuses new requests as not run from then on.
+  duration close_at{};   ///< Closes the idle connections once it is idle.
+  duration answer_by{};  ///< Gives the last answers.
+  duration cut_at{};     ///< Breaks off what is still in flight.
+};
 
-/// Returns how long after it was told to stop a node may take for the last
-/// answers: until shortly before the cut.
-duration AnswerPeriod(std::chrono::milliseconds grace);
+/// Returns the schedule for a grace period. A request that its backend server
+/// works on may take until the last sixth of the period. What is left after the
+/// cut lets the process end by itself, also where a small share of a core gives
+/// it no turn for some tenths of a second, as far as the period allows.
+stop_schedule MakeStopSchedule(std::chrono::milliseconds grace);
+
+/// Returns what a node does `elapsed` after it was told to stop.
+stop_phase StopPhaseAt(duration elapsed, const stop_schedule& schedule,
+                       bool is_idle);
 
 }  // namespace wagtailmount
--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -61,7 +61,7 @@
       return false;
     }
     ChooseRoute();
-    const bool is_refused = state_.is_draining || chosen_ == nullptr;
+    const bool is_refused = state_.IsDraining() || chosen_ == nullptr;
     is_read_ahead_ =
         is_refused || IsIdempotent(chosen_->repeatable,
                                    ToStandard(parser_.get().method_string()));
@@ -85,7 +85,7 @@
       }
       ChooseRoute();
     }
-    if (state_.is_draining) {
+    if (state_.IsDraining()) {
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kDraining);
     }
     if (snapshot_ == nullptr) {
--- a/Libraries/LibTraffic/disconnect_watcher.cc
+++ b/Libraries/LibTraffic/disconnect_watcher.cc
@@ -45,19 +45,28 @@
 
 void disconnect_watcher::CloseOnDisconnect(http_connection* connection) {
   state_.connection_to_close = connection;
-  if (state_.has_disconnected) {
-    state_.Disconnect();
+  if (state_.has_disconnected || state_.is_withdrawn) {
+    state_.Close();
   }
 }
 
 void disconnect_watcher::Disconnect() { state_.Disconnect(); }
 
+void disconnect_watcher::Withdraw() {
+  state_.is_withdrawn = true;
+  state_.Close();
+}
+
 bool disconnect_watcher::HasClientDisconnected() {
   return state_.has_disconnected || state_.client->HasPeerClosed();
 }
 
 void disconnect_watcher::shared_state::Disconnect() {
   has_disconnected = true;
+  Close();
+}
+
+void disconnect_watcher::shared_state::Close() {
   if (connection_to_close != nullptr) {
     connection_to_close->Close();
   }
--- a/Libraries/LibTraffic/disconnect_watcher.h
+++ b/Libraries/LibTraffic/disconnect_watcher.h
@@ -38,16 +38,22 @@
   /// being read.
   void Start();
 
-  /// Sets the connection to close when the client disconnects; null for none.
-  /// Closes it at once if the client has disconnected.
+  /// Sets the connection to close when the client disconnects or the request is
+  /// withdrawn; null for none. Closes it at once if that has happened.
   void CloseOnDisconnect(http_connection* connection);
 
   /// The client has disconnected, or is to get no answer.
   void Disconnect();
 
+  /// Ends the request like its deadline: its client is still to be answered.
+  void Withdraw();
+
   /// Whether the request was cancelled by Disconnect(); asks nobody.
   bool IsCancelled() const { return state_.has_disconnected; }
 
+  /// Whether Withdraw() was called.
+  bool IsWithdrawn() const { return state_.is_withdrawn; }
+
   /// Whether the client has disconnected, as far as the kernel knows now.
   bool HasClientDisconnected();
 
@@ -58,8 +64,10 @@
     http_connection* client = nullptr;  ///< Null once the watcher is destroyed.
     http_connection* connection_to_close = nullptr;
     bool has_disconnected = false;
+    bool is_withdrawn = false;
 
     void Disconnect();
+    void Close();
   };
 
   std::shared_ptr<shared_state> shared_;  ///< Null if another watches.
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -75,9 +75,10 @@
         kind_(KindOf(incoming.chosen_route.name)),
         service_state_(worker.ServiceStateOf(target_.name)),
         upstreams_(incoming.snapshot.UpstreamsOf(target_.name)),
-        watch_(incoming.caller, incoming.watch) {
+        watch_(incoming.caller, incoming.watch),
+        served_(worker, watch_) {
     tried_.reserve(incoming.chosen_route.retry->attempts + 1);
-    if (state_.is_leaving) {
+    if (state_.IsLeaving()) {
       ExcludeOwnUpstream();
     }
   }
@@ -273,9 +274,10 @@
     }
     const time_point end = state_.clock.Now();
     // What this node broke off itself shows nothing about the upstream.
-    const attempt_signal sign = !ended.answer && watch_.IsCancelled()
-                                    ? attempt_signal::kInconclusive
-                                    : SignOf(ended);
+    const bool is_broken_off =
+        !ended.answer && (watch_.IsCancelled() || watch_.IsWithdrawn());
+    const attempt_signal sign =
+        is_broken_off ? attempt_signal::kInconclusive : SignOf(ended);
     service_state_.chooser.End(end, chosen.vm, sign, end - begin);
     RecordStatement(chosen, ended, begin);
     if (ended.cause == refusal_cause::kEvacuated) {
@@ -375,6 +377,7 @@
   std::vector<const upstream*> tried_;
   std::uint32_t backend_arrivals_ = 0;
   disconnect_watcher watch_;
+  served_request_guard served_;
 };
 
 }  // namespace
--- a/Libraries/LibTraffic/exchange.cc
+++ b/Libraries/LibTraffic/exchange.cc
@@ -12,6 +12,12 @@
 // Longer idle timeouts are as good as none.
 constexpr std::uint64_t kMaximumIdleTimeoutSeconds = 3'600;
 
+// Whether an exchange that failed had time left.
+bool IsInTime(time_point deadline, const runtime_clock& clock,
+              const disconnect_watcher& watch) {
+  return clock.Now() < deadline && !watch.IsWithdrawn();
+}
+
 attempt_outcome OutcomeOfFailedWrite(write_status written, bool is_in_time) {
   switch (written) {
     case write_status::kNothingWritten:
@@ -135,14 +141,15 @@
 task<attempt_result> ReadAnswer(std::unique_ptr<http_connection>& connection,
                                 const outgoing_request& request,
                                 time_point deadline, const runtime_clock& clock,
-                                answer_rules rules) {
+                                answer_rules rules,
+                                const disconnect_watcher& watch) {
   attempt_result result;
   connection->stream.expires_after(deadline - clock.Now());
   error_code failure;
   std::unique_ptr<http_response_parser> parser =
       co_await ReadOwnAnswerHeader(*connection, request, failure);
   if (failure) {
-    const bool is_in_time = clock.Now() < deadline;
+    const bool is_in_time = IsInTime(deadline, clock, watch);
     result.outcome = IsHttpError(failure) ? attempt_outcome::kAnswerMalformed
                      : is_in_time         ? attempt_outcome::kLostAfterWriting
                                           : attempt_outcome::kNoAnswerInTime;
@@ -170,8 +177,9 @@
     co_return result;
   }
   if (read_status == body_status::kLost) {
-    result.outcome = clock.Now() < deadline ? attempt_outcome::kAnswerTruncated
-                                            : attempt_outcome::kNoAnswerInTime;
+    result.outcome = IsInTime(deadline, clock, watch)
+                         ? attempt_outcome::kAnswerTruncated
+                         : attempt_outcome::kNoAnswerInTime;
     co_return result;
   }
   if (read_status == body_status::kMore) {
@@ -202,10 +210,11 @@
     write.written = co_await WriteRequest(*connection, request);
   }
   if (write.written == write_status::kWritten || write.is_answered) {
-    result = co_await ReadAnswer(connection, request, deadline, clock, rules);
+    result =
+        co_await ReadAnswer(connection, request, deadline, clock, rules, watch);
   } else {
     result.outcome =
-        OutcomeOfFailedWrite(write.written, clock.Now() < deadline);
+        OutcomeOfFailedWrite(write.written, IsInTime(deadline, clock, watch));
   }
   if (write.is_answered) {
     connection.reset();
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -46,7 +46,7 @@
     if (id_.empty() || !parameters) {
       co_return false;
     }
-    if (state_.is_leaving) {
+    if (state_.IsLeaving()) {
       co_return co_await Refuse(verdict::kNotRun, refusal_cause::kDraining);
     }
     // The limits of the backend server come with the configuration.
@@ -191,6 +191,7 @@
     RemoveHopByHopFields(request.message);
     SetFraming(request, parser_);
     disconnect_watcher watch{client_};
+    const served_request_guard served{worker_, watch};
     if (request.remaining_body == nullptr) {
       watch.Start();
     }
@@ -230,7 +231,7 @@
   }
 
   bool CanKeepAlive() const {
-    return parser_.is_done() && parser_.keep_alive() && !state_.is_leaving;
+    return parser_.is_done() && parser_.keep_alive() && !state_.IsLeaving();
   }
 
   task<bool> Refuse(verdict proved, refusal_cause cause) {
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -138,9 +138,15 @@
     }
   }
 
-  void BeginStop(time_point answer_by) override {
-    state_.answer_by = answer_by;
+  void BeginStop(const stop_times& times) override {
+    state_.answer_by = times.answer_by;
+    state_.drain_from = times.drain_from;
     state_.is_stopping = true;
+    for (const auto& worker : workers_) {
+      boost::asio::post(worker->context, [&worker = *worker, times] {
+        worker.WithdrawAt(times.answer_by);
+      });
+    }
   }
   void BeginLeaving() override { state_.is_leaving = true; }
 
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -118,6 +118,14 @@
   refusal_cause reason = refusal_cause::kNone;  ///< kNone when answered.
 };
 
+/// When a stopping process does what.
+struct stop_times {
+  /// From then on, new requests are refused as not run.
+  time_point drain_from = time_point::max();
+  /// When the last answers are given.
+  time_point answer_by = time_point::max();
+};
+
 /// The request path: serves connections of callers and of other nodes on
 /// threads of its own.
 class traffic_server {
@@ -137,10 +145,11 @@
 
   /// Prepares for the end of this process while its backend server keeps
   /// running. Answers tell callers to close their connections; everything else
-  /// continues until BeginDrain(), because only this process can reach the
-  /// backend server. No request gets more time than until `answer_by`, so that
-  /// each one that is read is also answered.
-  virtual void BeginStop(time_point answer_by) = 0;
+  /// continues until BeginDrain() or `drain_from`, because only this process
+  /// can reach the backend server. No request gets more time than until
+  /// `answer_by`, whenever it began: what runs or waits then is withdrawn, so
+  /// that each request that is read is also answered.
+  virtual void BeginStop(const stop_times& times) = 0;
 
   /// Starts no more requests at this VM's backend server. Callers are still
   /// served by other upstreams, and answers tell them to close their
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -79,4 +79,17 @@
   }
 }
 
+void traffic_worker::WithdrawAt(time_point end) {
+  withdraw_timer.expires_after(end - state.clock.Now());
+  withdraw_timer.async_wait([this](error_code failure) {
+    if (failure) {
+      return;
+    }
+    state.gate.RefuseQueued(refusal_cause::kDraining);
+    for (disconnect_watcher* const request : served_requests) {
+      request->Withdraw();
+    }
+  });
+}
+
 }  // namespace wagtailmount::detail
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <memory>
 #include <set>
@@ -17,6 +18,7 @@
 #include "LibTraffic/backend_warmth.h"
 #include "LibTraffic/connection_pool.h"
 #include "LibTraffic/decision_log.h"
+#include "LibTraffic/disconnect_watcher.h"
 #include "LibTraffic/request_quarantine.h"
 #include "LibTraffic/service_statistics.h"
 #include "LibTraffic/traffic_server.h"
@@ -93,6 +95,8 @@
   std::atomic<bool> is_stopping{false};
   /// When the last answers are to be given; in the far future unless stopping.
   std::atomic<time_point> answer_by{time_point::max()};
+  /// When new requests begin to be refused; in the far future unless stopping.
+  std::atomic<time_point> drain_from{time_point::max()};
   /// No new request starts at this VM's backend server; callers are told to
   /// close their connections.
   std::atomic<bool> is_leaving{false};
@@ -100,6 +104,15 @@
   std::atomic<bool> is_draining{false};
   /// Connections are closed as soon as no request is served on them.
   std::atomic<bool> is_closing{false};
+
+  /// Whether new requests are refused. Goes by the time, since the thread that
+  /// calls BeginDrain() may get no turn for a while.
+  bool IsDraining() const {
+    return is_draining || (is_stopping && clock.Now() >= drain_from.load());
+  }
+  /// Whether no new request starts at this VM's backend server.
+  bool IsLeaving() const { return is_leaving || IsDraining(); }
+
   /// The service of the backend server on this VM.
   static const std::string& OwnService(const traffic_settings& settings,
                                        const routing_snapshot& snapshot) {
@@ -136,7 +149,7 @@
 /// The state that one traffic thread uses alone.
 struct traffic_worker {
   traffic_worker(traffic_state& shared, std::uint64_t seed)
-      : state(shared), context(1), random(seed) {}
+      : state(shared), context(1), random(seed), withdraw_timer(context) {}
 
   /// The state for a service, created on first use. Entries of removed services
   /// stay; they are small.
@@ -153,14 +166,37 @@
   /// client sends from then on stays unread, and the reset tells it so.
   void CloseIdleClients();
 
+  /// At `end`, withdraws all requests that run or wait, here or at other nodes,
+  /// so that they are answered while this process can still do so.
+  void WithdrawAt(time_point end);
+
   traffic_state& state;
+  // Declared before the context, whose coroutines hold guards of it.
+  std::set<disconnect_watcher*> served_requests;
   boost::asio::io_context context;
   random_source random;
   std::map<std::string, service_state, std::less<>> services;
   caller_wait_estimator patience;
   std::set<http_connection*> idle_clients;
+  boost::asio::steady_timer withdraw_timer;
   // Declared after the context, so that idle connections are destroyed first.
   connection_pool pool;
 };
 
+/// Lists a request as served by `worker` for the lifetime of the guard.
+class served_request_guard {
+ public:
+  served_request_guard(traffic_worker& worker, disconnect_watcher& watch)
+      : worker_(worker), watch_(watch) {
+    worker_.served_requests.insert(&watch_);
+  }
+  served_request_guard(const served_request_guard&) = delete;
+  served_request_guard& operator=(const served_request_guard&) = delete;
+  ~served_request_guard() { worker_.served_requests.erase(&watch_); }
+
+ private:
+  traffic_worker& worker_;
+  disconnect_watcher& watch_;
+};
+
 }  // namespace wagtailmount::detail
--- a/Tests/LibNode/test_stop_schedule.cc
+++ b/Tests/LibNode/test_stop_schedule.cc
@@ -5,6 +5,15 @@
 using std::chrono::milliseconds;
 using namespace wagtailmount;  // NOLINT(google-build-using-namespace)
 
+namespace {
+
+constexpr milliseconds kGracePeriods[] = {
+    milliseconds{0},     milliseconds{500},   milliseconds{1'000},
+    milliseconds{3'000}, milliseconds{4'000}, milliseconds{6'000},
+    milliseconds{10'000}};
+
+}  // namespace
+
 BOOST_AUTO_TEST_SUITE(stop_schedule_suite)
 
 BOOST_AUTO_TEST_CASE(AStopGoesThroughItsPhases) {
@@ -13,7 +22,7 @@
     bool is_idle;
     stop_phase expected;
   };
-  constexpr milliseconds kGrace{6'000};
+  const stop_schedule schedule = MakeStopSchedule(milliseconds{6'000});
   const phase_case table[] = {
       {milliseconds{0}, true, stop_phase::kNotice},
       {milliseconds{2'599}, true, stop_phase::kNotice},
@@ -27,18 +36,31 @@
   };
   for (const phase_case& each : table) {
     BOOST_TEST(
-        (StopPhaseAt(each.elapsed, kGrace, each.is_idle) == each.expected),
+        (StopPhaseAt(each.elapsed, schedule, each.is_idle) == each.expected),
         each.elapsed.count());
   }
 }
 
 // A backend server may be at work on a request until the last sixth of the
-// grace period; its answer must not be cut before.
+// grace period; its answer must not be cut before, however short the period.
 BOOST_AUTO_TEST_CASE(TheLastAnswersAreDueBetweenTheLastSixthAndTheCut) {
-  for (const milliseconds grace : {milliseconds{6'000}, milliseconds{10'000}}) {
-    const duration period = AnswerPeriod(grace);
-    BOOST_TEST((period >= grace - grace / 6));
-    BOOST_TEST((StopPhaseAt(period, grace, false) == stop_phase::kDrain));
+  for (const milliseconds grace : kGracePeriods) {
+    const stop_schedule schedule = MakeStopSchedule(grace);
+    BOOST_TEST_CONTEXT(grace.count()) {
+      BOOST_TEST((schedule.answer_by >= grace - grace / 6));
+      BOOST_TEST((schedule.answer_by <= schedule.cut_at));
+      BOOST_TEST((schedule.drain_at <= schedule.answer_by));
+      BOOST_TEST((schedule.drain_at <= schedule.close_at));
+      BOOST_TEST((schedule.close_at <= schedule.cut_at));
+    }
+  }
+}
+
+// A request that comes later than this after the signal may not be cut even at
+// the end, so it must not be taken.
+BOOST_AUTO_TEST_CASE(NoRequestIsTakenThatMayNotBeCut) {
+  for (const milliseconds grace : kGracePeriods) {
+    BOOST_TEST((MakeStopSchedule(grace).drain_at < milliseconds{3'000}));
   }
 }
 
@@ -47,11 +69,16 @@
 BOOST_AUTO_TEST_CASE(TheCutLeavesTimeToEndWithinTheGracePeriod) {
   constexpr milliseconds kLongestPause{400};
   for (const milliseconds grace : {milliseconds{6'000}, milliseconds{10'000}}) {
-    milliseconds elapsed{0};
-    while (StopPhaseAt(elapsed, grace, false) != stop_phase::kCut) {
-      elapsed += milliseconds{1};
-    }
-    BOOST_TEST(elapsed.count() + 2 * kLongestPause.count() <= grace.count());
+    BOOST_TEST((MakeStopSchedule(grace).cut_at + 2 * kLongestPause <= grace));
+  }
+}
+
+// The last sixth of a shorter period is too short for such pauses; the end of
+// the process gets at least half of it.
+BOOST_AUTO_TEST_CASE(TheCutLeavesHalfOfTheLastSixthOfAShortGracePeriod) {
+  for (const milliseconds grace : {milliseconds{3'000}, milliseconds{4'000}}) {
+    const duration left = grace - MakeStopSchedule(grace).cut_at;
+    BOOST_TEST((2 * left >= grace / 6));
   }
 }
 
--- a/Tests/LibTraffic/test_drain.cc
+++ b/Tests/LibTraffic/test_drain.cc
@@ -60,7 +60,8 @@
   traffic_fixture fixture{1};
   fixture.Publish();
   auto& stopping = fixture.Owner(1);
-  stopping.server->BeginStop(fixture.Now() + std::chrono::seconds{5});
+  stopping.server->BeginStop(
+      {.answer_by = fixture.Now() + std::chrono::seconds{5}});
   for (int call = 0; call < 20; ++call) {
     const auto answer =
         Call(stopping.caller_address, "POST", "/", "", "amount=20");
@@ -141,7 +142,7 @@
         Eventually([&] { return owner.backend_server->TotalRuns() == 1; }));
     auto& stopping = is_owner_stopping ? owner : fixture.Entry();
     const time_point answer_by = fixture.Now() + kAnswerIn;
-    stopping.server->BeginStop(answer_by);
+    stopping.server->BeginStop({.answer_by = answer_by});
     const auto refused =
         Call(fixture.Entry().caller_address, "POST", "/", "", "amount=20");
     BOOST_TEST(refused.status == 503);
@@ -150,6 +151,59 @@
   }
 }
 
+// Guards against an attempt that began before the signal to stop, and keeps its
+// own deadline, being cut with the process: in a queue, here or at another
+// node, or at work.
+BOOST_AUTO_TEST_CASE(WhatBeganBeforeAStopIsAnsweredBeforeTheEnd) {
+  constexpr std::chrono::milliseconds kAnswerIn{500};
+  constexpr std::chrono::milliseconds kEndMargin{150};
+  fixture_options options;
+  options.limits.slots = 1;
+  options.attempts = 1;
+  options.deadline = std::chrono::milliseconds{5'000};
+  for (const bool is_owner_stopping : {false, true}) {
+    traffic_fixture fixture{1, options};
+    fixture.Publish();
+    auto& owner = fixture.Owner(1);
+    auto& stopping = is_owner_stopping ? owner : fixture.Entry();
+    test_caller running{stopping.caller_address};
+    running.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Fake: hang\r\n\r\n");
+    BOOST_REQUIRE(
+        Eventually([&] { return owner.backend_server->TotalRuns() == 1; }));
+    test_caller waiting{stopping.caller_address};
+    waiting.Send(
+        "POST / HTTP/1.1\r\nHost: a\r\nX-Request-Id: waiting\r\n"
+        "Content-Length: 2\r\n\r\nab");
+    std::this_thread::sleep_for(std::chrono::milliseconds{100});
+    const time_point answer_by = fixture.Now() + kAnswerIn;
+    stopping.server->BeginStop({.answer_by = answer_by});
+    const auto answer = waiting.Receive();
+    BOOST_TEST(answer.is_complete);
+    BOOST_TEST((answer.status == 503 || answer.status == 504));
+    BOOST_TEST(running.Receive().status == 504);
+    BOOST_TEST((fixture.Now() >= answer_by));
+    BOOST_TEST((fixture.Now() <= answer_by + kEndMargin));
+    BOOST_TEST(owner.backend_server->RunCount("waiting") == 0);
+  }
+}
+
+// Guards against requests that are taken at the end of the grace period because
+// the thread that ends the acceptance gets no turn.
+BOOST_AUTO_TEST_CASE(AStoppingNodeRefusesRequestsByTheTime) {
+  traffic_fixture fixture{1};
+  fixture.Publish();
+  auto& stopping = fixture.Owner(1);
+  const time_point now = fixture.Now();
+  stopping.server->BeginStop(
+      {.drain_from = now, .answer_by = now + std::chrono::seconds{5}});
+  const auto refused =
+      Call(stopping.caller_address, "POST", "/", "", "amount=20");
+  BOOST_TEST(refused.status == 503);
+  BOOST_TEST(refused.Field("Wagtailmount-Reason") == "draining");
+  BOOST_TEST(Call(fixture.Entry().caller_address, "GET", "/").status == 503);
+  BOOST_TEST(stopping.backend_server->TotalRuns() == 0);
+}
+
 // A planned stop under load. A caller may find its connection reset, which says
 // that its request was not read; it may not find it ended after its request was
 // read.
--- a/Tests/LibTraffic/test_pipelining.cc
+++ b/Tests/LibTraffic/test_pipelining.cc
@@ -301,7 +301,7 @@
       server.BeginDrain();
       server.CloseIdleConnections();
     } else {
-      server.BeginStop(fixture.Now() + std::chrono::seconds{5});
+      server.BeginStop({.answer_by = fixture.Now() + std::chrono::seconds{5}});
     }
     caller.Send(Request("never"));
     std::this_thread::sleep_for(milliseconds{50});
--- a/Tests/Process/catalog_stand_ins.py
+++ b/Tests/Process/catalog_stand_ins.py
@@ -174,6 +174,7 @@
                     return
                 request_id = self.headers.get("X-Request-Id")
                 backend.ran.append((request_id, self.headers.get("X-Caller-Service"), time.monotonic()))
+                backend.work(self.path)
                 self.answer(200, b"%s of %s" % (request_id.encode(), body),
                             [identity, ("X-Request-Id", request_id), ("X-Response-Stamp", backend.identity)])
 
@@ -181,6 +182,9 @@
 
         self._server = Server(address, Handler)
 
+    def work(self, path):
+        """What a request does while it runs."""
+
     def entry(self, zone, state="ready"):
         return {"service": self.service, "address": self.address, "zone": zone, "config-version": "v1", "slots": 8,
                 "state": state, "cold-remaining": "0ms", "seq": 1}
@@ -189,10 +193,11 @@
         self._server.stop()
 
 
-def configuration(version, routes):
+def configuration(version, routes, timeout="1500ms", target_latency="500ms"):
     """The operators' configuration; `routes` holds (prefix, kind, service)."""
-    rules = [{"name": "r" + prefix.replace("/", "-"), "route-kind": kind, "target-latency": "500ms", "priority": 1,
-              "match": {"prefix": prefix}, "action": {"service": service, "timeout": "1500ms", "max-attempts": 2}}
+    rules = [{"name": "r" + prefix.replace("/", "-"), "route-kind": kind, "target-latency": target_latency,
+              "priority": 1, "match": {"prefix": prefix},
+              "action": {"service": service, "timeout": timeout, "max-attempts": 2}}
              for prefix, kind, service in routes]
     services = sorted({service for _, _, service in routes})
     return {"config-version": f"r{version}",
