LibTraffic: Let only a request's own time end its exchange

Callers lost requests in calm as in stops: uploads that their upstream reads slowly were broken off after 1.2 s (502), answers whose upstream paused were cut after 5 s, uploads that were not read in time were held past their route's time limit, and lookups that had run behind a download got no answer when that broke off.

Cause, one class: times of the node's own ended or prolonged an exchange. TCP_USER_TIMEOUT of 1 s also counts the time in which a living peer keeps its window closed; each piece of a body had 5 s, whatever the request had left. Behind a long answer, requests were passed on that could be answered only if it ended well.

Now the deadline bounds both directions of a body; the kernel's time limit is raised above it while a long body is on its way; a slow reader of an answer has the time of its request, at least 5 s a piece; and nothing is read behind a request whose answer may be too long to be held whole, as its route declares or as was seen.

--- a/Libraries/LibConfig/configuration.h
+++ b/Libraries/LibConfig/configuration.h
@@ -173,6 +173,9 @@
   /// Whether the route matches only paths below the prefix, not the prefix
   /// itself.
   bool matches_only_below = false;
+  /// Whether its answers are too long to be held whole; learned where the
+  /// configuration doesn't tell.
+  bool has_long_answers = false;
 
   /// Compares service and resources by pointer: equal routes refer to the same
   /// objects.
--- a/Libraries/LibTraffic/body_go_ahead.cc
+++ b/Libraries/LibTraffic/body_go_ahead.cc
@@ -96,8 +96,8 @@
 
 task<write_status> WriteBody(http_connection& connection,
                              outgoing_request& request,
-                             request_serializer& serializer,
-                             std::uint64_t rate) {
+                             request_serializer& serializer, std::uint64_t rate,
+                             time_point deadline) {
   const pace paced{rate};
   std::uint64_t sent = 0;
   bool more = request.remaining_body != nullptr;
@@ -106,15 +106,13 @@
   while (!failure && more) {
     request.is_remaining_body_started = true;
     std::string piece;
-    request.remaining_body_connection->stream.expires_after(kBodyPieceTimeout);
-    const body_status read_status = co_await ReadBodyPiece(
-        *request.remaining_body_connection, *request.remaining_body, piece);
+    const body_status read_status =
+        co_await ReadPieceFromSender(request, deadline, piece);
     if (read_status == body_status::kLost ||
         read_status == body_status::kInvalid) {
       co_return write_status::kBodyLost;
     }
     more = read_status == body_status::kMore;
-    connection.stream.expires_after(kBodyPieceTimeout);
     failure = co_await WritePieces(connection, request, serializer, paced,
                                    piece, more, sent);
   }
@@ -129,7 +127,8 @@
 }
 
 task<announced_write> WriteAnnounced(http_connection& connection,
-                                     outgoing_request& request) {
+                                     outgoing_request& request,
+                                     time_point deadline) {
   announced_write result;
   request.message.set(http::field::expect, "100-continue");
   request_serializer serializer{request.message};
@@ -158,7 +157,8 @@
   }
   const std::uint64_t rate =
       ParseNumber(FieldOf(parser.get(), kBodyRateField)).value_or(0);
-  result.written = co_await WriteBody(connection, request, serializer, rate);
+  result.written =
+      co_await WriteBody(connection, request, serializer, rate, deadline);
   co_return result;
 }
 
--- a/Libraries/LibTraffic/body_go_ahead.h
+++ b/Libraries/LibTraffic/body_go_ahead.h
@@ -21,9 +21,11 @@
 };
 
 /// Writes the header section of `request` with "Expect: 100-continue", waits
-/// for the go-ahead, and writes the body. The connection's timeout must be set.
+/// for the go-ahead, and writes the body. The connection's timeout must be set;
+/// the body's sender is waited for until `deadline`.
 task<announced_write> WriteAnnounced(http_connection& connection,
-                                     outgoing_request& request);
+                                     outgoing_request& request,
+                                     time_point deadline);
 
 /// Tells the sender of a request to send its body, at a rate that is bounded
 /// unless it is 0; false if the connection is lost.
--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -118,8 +118,11 @@
   }
 
   // Of a request that has arrived whole and may be repeated, or runs nothing.
+  // An answer that breaks off takes along what was passed on behind it.
   void AllowBehind() {
-    if (parser_.is_done() && parser_.keep_alive()) {
+    const bool may_break_off =
+        chosen_ != nullptr && ExpectsLongAnswer(worker_, *chosen_);
+    if (parser_.is_done() && parser_.keep_alive() && !may_break_off) {
       line_.order.AllowBehind(ticket_);
     }
   }
--- a/Libraries/LibTraffic/connection_pool.cc
+++ b/Libraries/LibTraffic/connection_pool.cc
@@ -1,9 +1,6 @@
 #include "LibTraffic/connection_pool.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
-#include <sys/socket.h>
 
 #include <boost/asio/this_coro.hpp>
 
@@ -11,10 +8,6 @@
 
 namespace {
 
-/// TCP_USER_TIMEOUT: closes a connection when sent bytes stay unacknowledged
-/// for this long. Allows several retransmissions on a lossy link and is well
-/// below request deadlines.
-constexpr unsigned kUnacknowledgedTimeoutMilliseconds = 1'000;
 /// A connection that the peer is about to close for being idle is not used: the
 /// close could cross the request.
 constexpr std::chrono::milliseconds kIdleTimeoutMargin{100};
@@ -150,9 +143,7 @@
                                          ignored);
   // A connection can stop delivering data without a reset while new connections
   // to the same peer work.
-  const unsigned timeout = kUnacknowledgedTimeoutMilliseconds;
-  setsockopt(connection->stream.socket().native_handle(), IPPROTO_TCP,
-             TCP_USER_TIMEOUT, &timeout, sizeof timeout);
+  connection->SetUnacknowledgedTimeout(kUnacknowledgedTimeout);
   co_return connection;
 }
 
--- a/Libraries/LibTraffic/exchange.cc
+++ b/Libraries/LibTraffic/exchange.cc
@@ -19,17 +19,15 @@
 }
 
 attempt_outcome OutcomeOfFailedWrite(write_status written, bool is_in_time) {
-  switch (written) {
-    case write_status::kNothingWritten:
-      return attempt_outcome::kClosedBeforeFirstByte;
-    case write_status::kBodyLost:
-      return attempt_outcome::kBodyLost;
-    case write_status::kPartlyWritten:
-    case write_status::kWritten:
-      break;
-  }
-  return is_in_time ? attempt_outcome::kLostWhileWriting
-                    : attempt_outcome::kNoAnswerInTime;
+  if (written == write_status::kNothingWritten) {
+    return attempt_outcome::kClosedBeforeFirstByte;
+  }
+  if (!is_in_time) {
+    return attempt_outcome::kNoAnswerInTime;
+  }
+  return written == write_status::kBodyLost
+             ? attempt_outcome::kBodyLost
+             : attempt_outcome::kLostWhileWriting;
 }
 
 bool IsInterim(const http_response_parser& parser) {
@@ -182,10 +180,10 @@
                          : attempt_outcome::kNoAnswerInTime;
     co_return result;
   }
+  answer.rest_by = deadline + kStreamedRestGrace;
   if (read_status == body_status::kMore) {
     answer.remaining_body = std::move(parser);
     answer.connection = std::move(connection);
-    answer.rest_by = deadline + kStreamedRestGrace;
   } else if (!parser->keep_alive()) {
     connection.reset();
   }
@@ -202,12 +200,19 @@
                               disconnect_watcher& watch) {
   watch.CloseOnDisconnect(connection.get());
   connection->stream.expires_after(deadline - clock.Now());
+  // A peer that reads a long body slowly closes its receive window for a while,
+  // which the kernel counts like a peer that is gone.
+  const bool is_long = IsBodyAnnounced(request);
+  if (is_long) {
+    connection->SetUnacknowledgedTimeout(deadline - clock.Now() +
+                                         kUnacknowledgedTimeout);
+  }
   attempt_result result;
   announced_write write;
   if (rules.is_body_announced) {
-    write = co_await WriteAnnounced(*connection, request);
+    write = co_await WriteAnnounced(*connection, request, deadline);
   } else {
-    write.written = co_await WriteRequest(*connection, request);
+    write.written = co_await WriteRequest(*connection, request, deadline);
   }
   if (write.written == write_status::kWritten || write.is_answered) {
     result =
@@ -224,6 +229,9 @@
   if (result.outcome != attempt_outcome::kAnswered) {
     connection.reset();
   } else if (connection != nullptr) {
+    if (is_long) {
+      connection->SetUnacknowledgedTimeout(kUnacknowledgedTimeout);
+    }
     connection->last_request_id = FieldOf(request.message, kRequestIdField);
     connection->stated_idle_timeout = StatedIdleTimeout(result.answer->message);
   }
--- a/Libraries/LibTraffic/http_connection.cc
+++ b/Libraries/LibTraffic/http_connection.cc
@@ -1,8 +1,13 @@
 #include "LibTraffic/http_connection.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
+#include <limits>
+
 namespace wagtailmount::detail {
 
 namespace {
@@ -33,6 +38,16 @@
   return count > 0;
 }
 
+void http_connection::SetUnacknowledgedTimeout(duration timeout) {
+  const auto whole =
+      std::chrono::duration_cast<std::chrono::milliseconds>(timeout).count();
+  // Zero would stand for the system's default.
+  const auto milliseconds = static_cast<unsigned>(
+      std::clamp<std::int64_t>(whole, 1, std::numeric_limits<int>::max()));
+  ::setsockopt(stream.socket().native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+               &milliseconds, sizeof milliseconds);
+}
+
 void http_connection::Close() {
   error_code ignored;
   stream.socket().close(ignored);
--- a/Libraries/LibTraffic/http_connection.h
+++ b/Libraries/LibTraffic/http_connection.h
@@ -58,6 +58,11 @@
   /// Never blocks.
   bool ReadAvailable(std::size_t maximum_bytes);
 
+  /// Sets TCP_USER_TIMEOUT: how long sent bytes may stay unacknowledged, or the
+  /// peer keep its receive window closed, before the kernel ends the
+  /// connection.
+  void SetUnacknowledgedTimeout(duration timeout);
+
   void Close();
 
   boost::beast::tcp_stream stream;
--- a/Libraries/LibTraffic/http_message.cc
+++ b/Libraries/LibTraffic/http_message.cc
@@ -190,10 +190,25 @@
   body.more = more;
 }
 
+// A slow reader may take all the time of its request.
+time_point WriteBy(const incoming_answer& answer) {
+  return std::max<time_point>(time_point::clock::now() + kBodyPieceTimeout,
+                              answer.rest_by);
+}
+
 }  // namespace
 
+task<body_status> ReadPieceFromSender(outgoing_request& request,
+                                      time_point deadline, std::string& piece) {
+  http_connection& sender = *request.remaining_body_connection;
+  sender.stream.expires_at(std::min<time_point>(
+      time_point::clock::now() + kBodyPieceTimeout, deadline));
+  co_return co_await ReadBodyPiece(sender, *request.remaining_body, piece);
+}
+
 task<write_status> WriteRequest(http_connection& connection,
-                                outgoing_request& request) {
+                                outgoing_request& request,
+                                time_point deadline) {
   auto& body = request.message.body();
   SetBodyPiece(body, request.body, request.remaining_body != nullptr);
   http::request_serializer<http::buffer_body> serializer{request.message};
@@ -203,15 +218,13 @@
   while (failure == http::error::need_buffer) {
     request.is_remaining_body_started = true;
     std::string piece;
-    request.remaining_body_connection->stream.expires_after(kBodyPieceTimeout);
-    const body_status read_status = co_await ReadBodyPiece(
-        *request.remaining_body_connection, *request.remaining_body, piece);
+    const body_status read_status =
+        co_await ReadPieceFromSender(request, deadline, piece);
     if (read_status == body_status::kLost ||
         read_status == body_status::kInvalid) {
       co_return write_status::kBodyLost;
     }
     SetBodyPiece(body, piece, read_status == body_status::kMore);
-    connection.stream.expires_after(kBodyPieceTimeout);
     written += co_await http::async_write(connection.stream, serializer,
                                           ReportTo(failure));
   }
@@ -227,16 +240,14 @@
   SetBodyPiece(body, answer.body, answer.remaining_body != nullptr);
   http::response_serializer<http::buffer_body> serializer{answer.message};
   error_code failure;
-  connection.stream.expires_after(kBodyPieceTimeout);
+  connection.stream.expires_at(WriteBy(answer));
   co_await http::async_write(connection.stream, serializer, ReportTo(failure));
   while (failure == http::error::need_buffer) {
-    const time_point now = time_point::clock::now();
-    if (now >= answer.rest_by) {
+    if (time_point::clock::now() >= answer.rest_by) {
       co_return false;
     }
     std::string piece;
-    answer.connection->stream.expires_at(
-        std::min<time_point>(now + kBodyPieceTimeout, answer.rest_by));
+    answer.connection->stream.expires_at(answer.rest_by);
     const body_status read_status = co_await ReadBodyPiece(
         *answer.connection, *answer.remaining_body, piece);
     if (read_status == body_status::kLost ||
@@ -244,7 +255,7 @@
       co_return false;
     }
     SetBodyPiece(body, piece, read_status == body_status::kMore);
-    connection.stream.expires_after(kBodyPieceTimeout);
+    connection.stream.expires_at(WriteBy(answer));
     co_await http::async_write(connection.stream, serializer,
                                ReportTo(failure));
   }
--- a/Libraries/LibTraffic/http_message.h
+++ b/Libraries/LibTraffic/http_message.h
@@ -43,8 +43,9 @@
   std::string body;
   std::unique_ptr<http_response_parser> remaining_body;
   std::unique_ptr<http_connection> connection;
-  time_point rest_by{};  ///< When no more of the rest is waited for.
-  backend_slot slot;     ///< Held until the rest has been streamed.
+  /// When no more of it is waited for; until then the reader may be slow.
+  time_point rest_by{};
+  backend_slot slot;  ///< Held until the rest has been streamed.
   /// Of a request that may crash backend servers; once the rest has been
   /// streamed, the answer speaks for it.
   std::optional<request_fingerprint> suspect;
@@ -83,9 +84,16 @@
   kBodyLost,  ///< Its sender failed after the first byte was written.
 };
 
-/// Writes `request`, streaming the rest of a long body from its sender.
+/// Reads the next piece of a long body from its sender, until `deadline` at the
+/// latest.
+task<body_status> ReadPieceFromSender(outgoing_request& request,
+                                      time_point deadline, std::string& piece);
+
+/// Writes `request`, streaming the rest of a long body from its sender. The
+/// timeout must be set on the connection before the call; the peer may be as
+/// slow as it allows.
 task<write_status> WriteRequest(http_connection& connection,
-                                outgoing_request& request);
+                                outgoing_request& request, time_point deadline);
 
 /// Writes `answer`; false when either side failed, or the rest had not ended in
 /// time. The connection must then be
--- a/Libraries/LibTraffic/http_types.h
+++ b/Libraries/LibTraffic/http_types.h
@@ -49,7 +49,11 @@
 
 /// How long an idle connection from another node stays open.
 inline constexpr std::chrono::seconds kIdleHopTimeout{75};
-/// Timeout for reading or writing one piece of a body.
+/// Ends a connection to a peer that acknowledges nothing. Allows several
+/// retransmissions on a lossy link and is well below request deadlines.
+inline constexpr std::chrono::milliseconds kUnacknowledgedTimeout{1'000};
+/// How long a peer may take for one piece of a body that it sends, and at least
+/// for one that it reads.
 inline constexpr std::chrono::seconds kBodyPieceTimeout{5};
 /// How long after the deadline the rest of a streamed answer may still come: it
 /// was begun in time, and most of it may be on the way.
--- a/Libraries/LibTraffic/request_start.cc
+++ b/Libraries/LibTraffic/request_start.cc
@@ -1,7 +1,18 @@
 #include "LibTraffic/request_start.h"
 
+#include <algorithm>
+
+#include "LibTraffic/http_types.h"
+
 namespace wagtailmount::detail {
 
+namespace {
+
+// Of a route whose answers are this long on average, some are not held whole.
+constexpr std::size_t kLongAnswerBytes = kRetainedBodyBytes / 2;
+
+}  // namespace
+
 std::string MakeRequestId(random_source& random) {
   constexpr std::string_view kDigits = "0123456789abcdef";
   constexpr std::size_t kDigitCount = 16;
@@ -30,4 +41,16 @@
   return *chosen.target;
 }
 
+bool ExpectsLongAnswer(traffic_worker& worker, const route& chosen) {
+  const auto expects_from = [&](const service& target) {
+    return worker.ServiceStateOf(target.name)
+               .sizes.ExpectedAnswerBytes(chosen.name) >= kLongAnswerBytes;
+  };
+  return chosen.has_long_answers || expects_from(*chosen.target) ||
+         std::any_of(chosen.parts.begin(), chosen.parts.end(),
+                     [&](const route_part& part) {
+                       return expects_from(*part.target);
+                     });
+}
+
 }  // namespace wagtailmount::detail
--- a/Tests/Process/faulty_backend_server.py
+++ b/Tests/Process/faulty_backend_server.py
@@ -64,8 +64,7 @@
         except OSError:
             pass
 
-    @staticmethod
-    def _read(stream):
+    def _read(self, stream):
         line = stream.readline().decode()
         if not line:
             return None
@@ -73,8 +72,12 @@
         while (field := stream.readline().decode().strip()):
             name, _, value = field.partition(":")
             fields[name.lower()] = value.strip()
-        stream.read(int(fields.get("content-length", 0)))
-        return line.split(" ")[1].rpartition("/")[2], fields
+        behaviour = line.split(" ")[1].rpartition("/")[2]
+        self._read_body(stream, int(fields.get("content-length", 0)), behaviour)
+        return behaviour, fields
+
+    def _read_body(self, stream, length, _behaviour):
+        stream.read(length)
 
     def _answer(self, accepted, behaviour, fields, owed):
         """Returns what is to be written before the next answer; None at the end of the connection."""
--- /dev/null
+++ b/Tests/Process/test_slow_peers.py
@@ -0,0 +1,89 @@
+"""Backend servers that are slow to read or to write, on real processes: only a request's own time ends it."""
+
+import concurrent.futures
+import http.client
+import os
+import socket
+import time
+
+from catalog_fleet import CatalogFleet
+from catalog_stand_ins import BackendServer, configuration
+from slow_backend_server import LONG_ANSWER_BYTES, SlowBackendServer
+
+ENTRY, OWNER = "127.0.0.2", "127.0.0.3"
+ROUTES = [("/scan/", "upload", "ledger"), ("/photos/", "download", "ledger"), ("/history/", "safe", "casefile")]
+TIMEOUT_SECONDS = 10.0
+ANSWER_SLACK_SECONDS = 0.5  # After the time limit of a route.
+MAY_HAVE_RUN = (502, 504)  # What a node answers in place of a backend server that works on the request.
+BOTH = (ENTRY, OWNER)
+
+
+class SlowPeersTest(CatalogFleet):
+    """The only upstream of `ledger` is slow; requests come from its own VM and from another one."""
+
+    vms = {ENTRY: ("hall-a", "casefile"), OWNER: ("hall-a", "ledger")}
+
+    def make_backend(self, identity, address, service):
+        kind = SlowBackendServer if service == "ledger" else BackendServer
+        return kind(identity, address, service)
+
+    def configure(self, version, timeout_seconds):
+        document = configuration(version, ROUTES, timeout=f"{timeout_seconds}s", target_latency="5s")
+        document["limits"]["max-body-bytes"] = 16 << 20
+        self.store.write("op/config", document)
+        time.sleep(2.0)
+
+    def ask(self, vm, method, path, body=None):
+        """Returns status, length of the answer and seconds taken; status 0 if it was not whole."""
+        connection = http.client.HTTPConnection(vm, int(self.ports["caller"]), timeout=2 * TIMEOUT_SECONDS)
+        began = time.monotonic()
+        try:
+            connection.request(method, path, body, {"Host": "mesh.example", "X-Request-Id": os.urandom(8).hex(),
+                                                    "X-Deadline-Ms": str(int(TIMEOUT_SECONDS * 1000))})
+            answer = connection.getresponse()
+            return answer.status, len(answer.read()), time.monotonic() - began
+        except (OSError, http.client.HTTPException):
+            return 0, 0, time.monotonic() - began
+        finally:
+            connection.close()
+
+    def ask_at_once(self, count, *arguments):
+        with concurrent.futures.ThreadPoolExecutor(2 * count) as pool:
+            asked = [pool.submit(self.ask, vm, *arguments) for vm in BOTH for _ in range(count)]
+            return [each.result() for each in asked]
+
+    # Guards against a connection that is ended because its peer, which is alive, closes its window for a second.
+    def test_an_upload_that_is_read_slowly_is_not_broken_off(self):
+        self.configure(5, TIMEOUT_SECONDS)
+        for status, _, _ in self.ask_at_once(3, "POST", "/scan/read-60000", b"x" * 240_000):
+            self.assertEqual(status, 200)
+
+    # Guards against an answer that is ended by a time limit of its pieces though its request has time left.
+    def test_an_answer_that_pauses_is_not_broken_off(self):
+        self.configure(5, TIMEOUT_SECONDS)
+        for status, length, _ in self.ask_at_once(3, "GET", "/photos/pause-6"):
+            self.assertEqual((status, length), (200, LONG_ANSWER_BYTES))
+
+    # Guards against a request that is held past its route's time limit, as its body has a time limit of its own.
+    def test_an_upload_that_is_not_read_in_time_is_answered_in_time(self):
+        self.configure(5, 2)
+        for status, _, seconds in self.ask_at_once(3, "POST", "/scan/read-500000", b"x" * 8_000_000):
+            self.assertIn(status, MAY_HAVE_RUN)
+            self.assertLess(seconds, 2 + ANSWER_SLACK_SECONDS)
+
+    # Guards against lookups that run behind a long answer, and get none when it breaks off.
+    def test_nothing_is_passed_on_behind_an_answer_that_may_break_off(self):
+        self.configure(5, TIMEOUT_SECONDS)
+        for vm in BOTH:
+            name = os.urandom(8).hex()
+            requests = "".join(
+                f"GET {path} HTTP/1.1\r\nHost: mesh.example\r\nX-Request-Id: {name}-{number}\r\n"
+                f"X-Deadline-Ms: 8000\r\n\r\n" for number, path in enumerate(("/photos/break-1", "/history/1")))
+            with socket.create_connection((vm, int(self.ports["caller"])), timeout=TIMEOUT_SECONDS) as connection:
+                connection.sendall(requests.encode())
+                try:
+                    while connection.recv(65536):
+                        pass
+                except ConnectionResetError:
+                    pass
+            self.assertNotIn(f"{name}-1", [ran[0] for backend in self.backends.values() for ran in backend.ran])
