LibTraffic: Accept what waits in the backlog at once, and look for the caller before the first attempt

Suspected cause: callers that come back use new connections, and a busy thread accepted one of them in each turn, so requests aged in the backlog, where no clock of the process counts; and the first attempt was made without a look at the caller, whose close is noticed only a turn later.

Now all connections that wait (64 at most) are accepted at once, and an entry asks the kernel whether the caller is still there before it sends anything.

--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -94,6 +94,11 @@
     }
     service_state_.budget.Earn(incoming_.chosen_route.retry->budget_share);
     entry_result result;
+    // It may have lain unread for a while.
+    if (watch_.HasClientDisconnected()) {
+      result.cause = refusal_cause::kAbandoned;
+      co_return result;
+    }
     result.cause = AreAllEvacuated() ? refusal_cause::kEvacuated
                                      : refusal_cause::kNoUpstream;
     while (const auto choice = NextChoice(result)) {
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
+#include <limits>
 #include <optional>
 #include <thread>
 #include <vector>
@@ -19,6 +20,9 @@
 using detail::traffic_state;
 using detail::traffic_worker;
 
+/// Bounds how long the other connections of a thread wait meanwhile.
+constexpr std::size_t kMostAcceptedAtOnce = 64;
+
 using session_function = detail::task<void> (*)(traffic_worker&, tcp::socket);
 
 result<tcp::acceptor> Listen(boost::asio::io_context& context,
@@ -49,6 +53,10 @@
   if (failure) {
     return fail("cannot listen on");
   }
+  acceptor.non_blocking(true, failure);
+  if (failure) {
+    return fail("cannot set non-blocking");
+  }
   return acceptor;
 }
 
@@ -216,26 +224,36 @@
       co_await acceptor.async_accept(socket, detail::ReportTo(failure));
       if (!failure) {
         StartSession(worker, std::move(socket), serve);
+        AcceptWaiting(acceptor, serve, kMostAcceptedAtOnce);
       } else if (acceptor.is_open()) {
         co_await PauseAfterFailure();
       }
     }
   }
 
-  // First accepts the connections in the listen backlog: closing the socket
-  // would reset them, together with requests already written on them.
-  void StopListeningForCallers() {
+  // Accepts the connections in the listen backlog. With one for each turn of a
+  // busy thread, requests would age there, where no clock of this process sees
+  // it.
+  void AcceptWaiting(tcp::acceptor& acceptor, session_function serve,
+                     std::size_t most) {
     boost::system::error_code failure;
-    caller_acceptor_->non_blocking(true, failure);
-    while (!failure) {
+    for (std::size_t count = 0; count < most && !failure; ++count) {
       traffic_worker& worker = NextWorker();
       tcp::socket socket{worker.context};
-      caller_acceptor_->accept(socket, failure);
+      acceptor.accept(socket, failure);
       if (!failure) {
-        StartSession(worker, std::move(socket), detail::ServeCaller);
+        StartSession(worker, std::move(socket), serve);
       }
     }
-    caller_acceptor_->close(failure);
+  }
+
+  // Closing the socket would reset the connections in the listen backlog,
+  // together with requests already written on them.
+  void StopListeningForCallers() {
+    AcceptWaiting(*caller_acceptor_, detail::ServeCaller,
+                  std::numeric_limits<std::size_t>::max());
+    boost::system::error_code ignored;
+    caller_acceptor_->close(ignored);
   }
 
   traffic_worker& NextWorker() {
