Process.slow_peers: Read the answer to an upload while it is being sent

A node answers at the time limit while most of the body is unsent; a client that only reads after it has sent everything may find the connection reset by then.

--- a/Tests/Process/test_slow_peers.py
+++ b/Tests/Process/test_slow_peers.py
@@ -4,6 +4,7 @@
 import http.client
 import os
 import socket
+import threading
 import time
 
 from catalog_fleet import CatalogFleet
@@ -18,6 +19,13 @@
 BOTH = (ENTRY, OWNER)
 
 
+def send_all(connection, content):
+    try:
+        connection.sendall(content)
+    except OSError:
+        pass  # The answer tells.
+
+
 class SlowPeersTest(CatalogFleet):
     """The only upstream of `ledger` is slow; requests come from its own VM and from another one."""
 
@@ -33,19 +41,20 @@
         self.store.write("op/config", document)
         time.sleep(2.0)
 
-    def ask(self, vm, method, path, body=None):
+    def ask(self, vm, method, path, body=b""):
         """Returns status, length of the answer and seconds taken; status 0 if it was not whole."""
-        connection = http.client.HTTPConnection(vm, int(self.ports["caller"]), timeout=2 * TIMEOUT_SECONDS)
+        head = (f"{method} {path} HTTP/1.1\r\nHost: mesh.example\r\nX-Request-Id: {os.urandom(8).hex()}\r\n"
+                f"X-Deadline-Ms: {int(TIMEOUT_SECONDS * 1000)}\r\nContent-Length: {len(body)}\r\n\r\n")
         began = time.monotonic()
-        try:
-            connection.request(method, path, body, {"Host": "mesh.example", "X-Request-Id": os.urandom(8).hex(),
-                                                    "X-Deadline-Ms": str(int(TIMEOUT_SECONDS * 1000))})
-            answer = connection.getresponse()
-            return answer.status, len(answer.read()), time.monotonic() - began
-        except (OSError, http.client.HTTPException):
-            return 0, 0, time.monotonic() - began
-        finally:
-            connection.close()
+        with socket.create_connection((vm, int(self.ports["caller"])), timeout=2 * TIMEOUT_SECONDS) as connection:
+            # An answer may come while the body is still being sent.
+            threading.Thread(target=send_all, args=(connection, head.encode() + body), daemon=True).start()
+            try:
+                answer = http.client.HTTPResponse(connection, method=method)
+                answer.begin()
+                return answer.status, len(answer.read()), time.monotonic() - began
+            except (OSError, http.client.HTTPException):
+                return 0, 0, time.monotonic() - began
 
     def ask_at_once(self, count, *arguments):
         with concurrent.futures.ThreadPoolExecutor(2 * count) as pool:
