Log when a stop drains and withdraws requests, and sessions that an exception ends

The hypotheses of the incident could not be told apart by the logs: a drain that comes late, requests that are still served when the last answers are due, and a session that an exception ends, which closes its connection without an answer and left no trace.

--- a/Libraries/LibNode/catalog_node.cc
+++ b/Libraries/LibNode/catalog_node.cc
@@ -175,10 +175,10 @@
     case stop_phase::kNotice:
       break;
     case stop_phase::kDrain:
-      traffic_->BeginDrain();
+      BeginDrain(elapsed);
       break;
     case stop_phase::kClose:
-      traffic_->BeginDrain();
+      BeginDrain(elapsed);
       traffic_->CloseIdleConnections();
       if (traffic_->HasClosedIdleConnections() && traffic_->IsIdle()) {
         Finish(true);
@@ -193,6 +193,20 @@
   }
 }
 
+void catalog_node::BeginDrain(duration elapsed) {
+  if (std::exchange(is_draining_, true)) {
+    return;
+  }
+  traffic_->BeginDrain();
+  using std::chrono::duration_cast;
+  using std::chrono::milliseconds;
+  log_.Add(
+      log_line{"stop-drains"}
+          .Number("elapsed_ms", duration_cast<milliseconds>(elapsed).count())
+          .Number("in_flight",
+                  static_cast<std::int64_t>(traffic_->Counters().in_flight)));
+}
+
 void catalog_node::Finish(bool is_clean) {
   is_clean_ = is_clean;
   hub_->Stop();
--- a/Libraries/LibNode/catalog_node.h
+++ b/Libraries/LibNode/catalog_node.h
@@ -51,6 +51,7 @@
   void Reload();
   void BeginStop();
   void ContinueStop();
+  void BeginDrain(duration elapsed);
   void Finish(bool is_clean);
 
   node_settings settings_;
@@ -70,6 +71,7 @@
   std::unique_ptr<readiness_handler> readiness_;
   std::unique_ptr<admin_server> readiness_server_;
   bool is_stopping_ = false;
+  bool is_draining_ = false;
   bool is_clean_ = true;
   time_point stop_began_;
   stop_schedule stop_schedule_;
--- a/Libraries/LibTraffic/pipelined_session.cc
+++ b/Libraries/LibTraffic/pipelined_session.cc
@@ -1,7 +1,6 @@
 #include "LibTraffic/sessions.h"
 //
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 
 #include "LibTraffic/answers.h"
 #include "LibTraffic/caller_request.h"
@@ -23,6 +22,19 @@
 
 }  // namespace
 
+void session_end::operator()(const std::exception_ptr& failure) const {
+  if (!failure || worker.state.log == nullptr) {
+    return;
+  }
+  log_line line{"session-failed"};
+  try {
+    std::rethrow_exception(failure);
+  } catch (const std::exception& error) {
+    line.Text("reason", error.what());
+  }
+  worker.state.log->Add(std::move(line));
+}
+
 task<void> ServeCaller(traffic_worker& worker,
                        boost::asio::ip::tcp::socket socket) {
   const auto line = std::make_shared<caller_line>(worker, std::move(socket));
@@ -38,7 +50,7 @@
     boost::asio::co_spawn(
         worker.context,
         ServeBehind(worker, line.shared_from_this(), std::move(request)),
-        boost::asio::detached);
+        session_end{worker});
     return true;
   });
   next_step next = next_step::kKeepAlive;
--- a/Libraries/LibTraffic/sessions.h
+++ b/Libraries/LibTraffic/sessions.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <exception>
+
 #include "LibTraffic/traffic_state.h"
 
 namespace wagtailmount::detail {
@@ -13,4 +15,12 @@
 task<void> ServeHop(traffic_worker& worker,
                     boost::asio::ip::tcp::socket socket);
 
+/// Completion handler of a session: one that an exception ended closes its
+/// connection without an answer, which is logged.
+struct session_end {
+  traffic_worker& worker;
+
+  void operator()(const std::exception_ptr& failure) const;
+};
+
 }  // namespace wagtailmount::detail
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -265,7 +265,7 @@
     boost::system::error_code ignored;
     socket.set_option(tcp::no_delay{true}, ignored);
     boost::asio::co_spawn(worker.context, serve(worker, std::move(socket)),
-                          boost::asio::detached);
+                          detail::session_end{worker});
   }
 
   // accept() fails when file descriptors run out; retry once some may have been
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -86,6 +86,11 @@
       return;
     }
     state.gate.RefuseQueued(refusal_cause::kDraining);
+    if (state.log != nullptr && !served_requests.empty()) {
+      log_line line{"requests-withdrawn"};
+      line.Number("count", static_cast<std::int64_t>(served_requests.size()));
+      state.log->Add(std::move(line));
+    }
     for (disconnect_watcher* const request : served_requests) {
       request->Withdraw();
     }
