LibTraffic: Read what has arrived before a stop closes idle connections, and avoid draining owners

A posting sent to an owner on a kept connection that the owner closes just then can't be told from one that was lost at work.

Suspected cause: a stopping node cancelled the reads of all idle connections at once, also of those whose bytes had arrived while its thread had no turn; and entries went on choosing an owner that had told them that it drains, until its process had ended.

Now what has arrived is read and answered first, and an owner that drains counts as unreachable, so that it gets one attempt at a time until it answers again.

--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -30,7 +30,6 @@
     case refusal_cause::kOverloaded:
     case refusal_cause::kCold:
     case refusal_cause::kShed:
-    case refusal_cause::kDraining:
     case refusal_cause::kNoConfiguration:
     case refusal_cause::kEvacuated:
     case refusal_cause::kTooLate:
@@ -39,6 +38,7 @@
     case refusal_cause::kQuarantined:
       return attempt_signal::kInconclusive;
     case refusal_cause::kUnreachable:
+    case refusal_cause::kDraining:  // Its connections end soon.
       return attempt_signal::kUnreachable;
     default:
       return attempt_signal::kBad;
--- a/Libraries/LibTraffic/http_connection.cc
+++ b/Libraries/LibTraffic/http_connection.cc
@@ -25,6 +25,11 @@
   return IsReadyFor(POLLRDHUP, stream.socket().native_handle());
 }
 
+bool http_connection::HasArrived() {
+  return buffer.size() > 0 ||
+         IsReadyFor(POLLIN, stream.socket().native_handle());
+}
+
 bool http_connection::IsUnusable() {
   return buffer.size() > 0 ||
          IsReadyFor(POLLIN | POLLRDHUP, stream.socket().native_handle());
--- a/Libraries/LibTraffic/http_connection.h
+++ b/Libraries/LibTraffic/http_connection.h
@@ -49,6 +49,9 @@
   /// after bytes not read yet.
   bool HasPeerClosed();
 
+  /// True when bytes or the peer's close wait to be read. Never blocks.
+  bool HasArrived();
+
   /// True when an idle connection can't be used again: the peer has closed it,
   /// or has sent bytes that belong to no request, such as a second copy of its
   /// last answer. Never blocks.
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -171,11 +171,12 @@
       return;
     }
     for (const auto& worker : workers_) {
-      boost::asio::post(worker->context, [this, &worker = *worker] {
-        worker.CloseIdleClients();
-        // Runs after what has been read by now is counted as in flight.
-        boost::asio::post(worker.context, [this] { ++closed_workers_; });
-      });
+      boost::asio::co_spawn(
+          worker->context, worker->CloseIdleClients(),
+          [this, &worker = *worker](const std::exception_ptr&) {
+            // Runs after what has been read by now is counted as in flight.
+            boost::asio::post(worker.context, [this] { ++closed_workers_; });
+          });
     }
   }
 
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -1,5 +1,7 @@
 #include "LibTraffic/traffic_state.h"
 
+#include <algorithm>
+
 #include "LibTraffic/request_reading.h"
 
 namespace wagtailmount::detail {
@@ -72,7 +74,16 @@
   }
 }
 
-void traffic_worker::CloseIdleClients() {
+task<void> traffic_worker::CloseIdleClients() {
+  constexpr std::chrono::milliseconds kReadInterval{10};
+  boost::asio::steady_timer timer{context};
+  // A busy thread may not have come to read what arrived long ago.
+  while (std::any_of(idle_clients.begin(), idle_clients.end(),
+                     [](auto* client) { return client->HasArrived(); })) {
+    timer.expires_after(kReadInterval);
+    error_code ignored;
+    co_await timer.async_wait(ReportTo(ignored));
+  }
   for (http_connection* const client : idle_clients) {
     // A request that has just been read is not affected, and is served.
     client->stream.cancel();
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -162,9 +162,10 @@
   /// connections allows.
   void KeepBackendConnection(std::unique_ptr<http_connection> connection);
 
-  /// Ends the wait for all clients, and with it their connections. What such a
-  /// client sends from then on stays unread, and the reset tells it so.
-  void CloseIdleClients();
+  /// Ends the wait for all clients, and with it their connections, once what
+  /// has arrived from them is read. What such a client sends from then on stays
+  /// unread, and the reset tells it so.
+  task<void> CloseIdleClients();
 
   /// At `end`, withdraws all requests that run or wait, here or at other nodes,
   /// so that they are answered while this process can still do so.
