--- a/Tests/Process/test_slow_peers.py
+++ b/Tests/Process/test_slow_peers.py
@@ -26,7 +26,7 @@
         pass  # The answer tells.
 
 
-class SlowPeersTest(CatalogFleet):
+class SlowPeersFleet(CatalogFleet):
     """The only upstream of `ledger` is slow; requests come from its own VM and from another one."""
 
     vms = {ENTRY: ("hall-a", "casefile"), OWNER: ("hall-a", "ledger")}
@@ -41,6 +41,8 @@
         self.store.write("op/config", document)
         time.sleep(2.0)
 
+
+class SlowPeersTest(SlowPeersFleet):
     def ask(self, vm, method, path, body=b""):
         """Returns status, length of the answer and seconds taken; status 0 if it was not whole."""
         head = (f"{method} {path} HTTP/1.1\r\nHost: mesh.example\r\nX-Request-Id: {os.urandom(8).hex()}\r\n"
