--- a/Tests/LibTraffic/traffic_fixture.cc
+++ b/Tests/LibTraffic/traffic_fixture.cc
@@ -81,6 +81,14 @@
   return text;
 }
 
+fixture_options SingleSlotOptions() {
+  fixture_options options;
+  options.limits.slots = 1;
+  options.attempts = 1;
+  options.deadline = std::chrono::milliseconds{5'000};
+  return options;
+}
+
 traffic_fixture::traffic_fixture(int owners, fixture_options options,
                                  std::uint32_t threads)
     : options_(options), threads_(threads) {
--- a/Tests/LibTraffic/traffic_fixture.h
+++ b/Tests/LibTraffic/traffic_fixture.h
@@ -64,6 +64,10 @@
   bool may_end_with_connection = false;
 };
 
+/// One request at a time at each backend server, so that the next ones wait;
+/// one attempt, and more time than a test takes.
+fixture_options SingleSlotOptions();
+
 /// Runs the nodes and backend servers of several VMs in this process. All nodes
 /// get the same routing snapshot. VM 0 has no backend server of the service
 /// "ledger", so its node only forwards requests to the other VMs.
