Tests: Read pipelined answers by one class

Cause: planned_stop.py repeated the reader that lets the soak read several answers from one socket.

Ruled out: sharing the senders as well; they judge different things and are alike in shape only.

No check was changed.

--- a/Tests/Process/planned_stop.py
+++ b/Tests/Process/planned_stop.py
@@ -7,6 +7,8 @@
 import threading
 import time
 
+from shared_reader import SharedReader
+
 DEADLINE_SECONDS = 12.0  # Longer than any grace period here.
 LOSS_SLACK_SECONDS = 0.2
 LAST_EXCUSED_SECONDS = 3.0  # After the signal: a request sent later may not be cut at the end of the grace period.
@@ -100,7 +102,7 @@
                 for number, request in enumerate(requests):
                     request.sent, request.is_behind = time.monotonic(), number > 0
                 connection.sendall(text.encode())
-                reader = UnclosedReader(connection)
+                reader = SharedReader(connection)
                 for request in requests:
                     answer = http.client.HTTPResponse(reader, method="GET")
                     answer.begin()
@@ -113,22 +115,6 @@
         self.requests.extend(requests)
 
 
-class UnclosedReader:
-    """Lets several answers be read from one socket: each of them would close it."""
-
-    def __init__(self, connection):
-        self._file = connection.makefile("rb")
-
-    def makefile(self, _mode):
-        return self
-
-    def close(self):
-        pass
-
-    def __getattr__(self, name):
-        return getattr(self._file, name)
-
-
 def headers_of(request):
     return {"Host": "mesh.example", "X-Deadline-Ms": str(int(DEADLINE_SECONDS * 1000)),
             "X-Request-Id": request.request_id}
--- a/Tests/Soak/soak_callers.py
+++ b/Tests/Soak/soak_callers.py
@@ -2,12 +2,18 @@
 
 import dataclasses
 import http.client
+import pathlib
 import random
 import select
 import socket
+import sys
 import threading
 import time
 
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parents[1] / "Process"))
+
+from shared_reader import SharedReader  # noqa: E402
+
 DEADLINE_SECONDS = 1.5
 PIPELINING_SHARE = 0.1
 PIPELINED_REQUESTS = 6
@@ -110,22 +116,6 @@
     attempt.is_leaving_stated = answer.getheader("Server-Leaving") is not None
 
 
-class SharedReader:
-    """Lets several answers be read from one socket: each of them would close it."""
-
-    def __init__(self, connection):
-        self._file = connection.makefile("rb")
-
-    def makefile(self, _mode):
-        return self
-
-    def close(self):
-        pass
-
-    def __getattr__(self, name):
-        return getattr(self._file, name)
-
-
 def send_pipelined(node, path, request_ids):
     """Sends lookups at once on a connection of their own; returns how each ended."""
     attempts = [Attempt(each, "GET", node.number, time.monotonic(), path, is_behind=each != request_ids[0])
