LibTraffic: Answer callers that send their body slowly

Cause: the read of a body was ended by the expiry of the stream, which closes it, and each piece had a limit of 5 s of its own.

The read is now ended by a limit of its own that leaves the connection open, at the request's deadline: 408 if nothing was passed on, else 504. A stop withdraws a request whose body is still being read, too. Ruled out: closing later, as the unread rest of the body would reset the answer; a lingering close follows the answer as before.

--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -137,9 +137,9 @@
     const service& target = ChooseTargetByWeight(chosen, worker_.random);
     outgoing_request request;
     const body_status read_status =
-        co_await ReadRequestBody(caller_, parser_, request);
-    if (read_status == body_status::kLost ||
-        read_status == body_status::kInvalid) {
+        co_await ReadRequestBody(caller_, parser_, deadline_, request);
+    if (read_status != body_status::kComplete &&
+        read_status != body_status::kMore) {
       co_return co_await RejectBody(read_status);
     }
     RemoveHopByHopAndProjectFields(request.message);
@@ -356,11 +356,19 @@
   }
 
   task<next_step> RejectBody(body_status read_status) {
-    const bool is_malformed_body = read_status == body_status::kInvalid;
-    const request_fault fault{400, is_malformed_body
-                                       ? std::string_view{"malformed-body"}
-                                       : std::string_view{"body-lost"}};
-    co_return co_await RejectInvalidRequest({is_malformed_body, fault});
+    request_read_fault lost;
+    switch (read_status) {
+      case body_status::kInvalid:
+        lost = {true, {400, "malformed-body"}};
+        break;
+      case body_status::kLate:
+        lost = {true, {408, "body-late"}};
+        break;
+      default:
+        lost = {false, {400, "body-lost"}};
+        break;
+    }
+    co_return co_await RejectInvalidRequest(lost);
   }
 
   traffic_worker& worker_;
--- a/Libraries/LibTraffic/disconnect_watcher.cc
+++ b/Libraries/LibTraffic/disconnect_watcher.cc
@@ -50,11 +50,21 @@
   }
 }
 
+void disconnect_watcher::StopReadingOnWithdrawal(http_connection* sender) {
+  sender_ = sender;
+  if (sender_ != nullptr && state_.is_withdrawn) {
+    sender_->StopReading();
+  }
+}
+
 void disconnect_watcher::Disconnect() { state_.Disconnect(); }
 
 void disconnect_watcher::Withdraw() {
   state_.is_withdrawn = true;
   state_.Close();
+  if (sender_ != nullptr) {
+    sender_->StopReading();
+  }
 }
 
 bool disconnect_watcher::HasClientDisconnected() {
--- a/Libraries/LibTraffic/disconnect_watcher.h
+++ b/Libraries/LibTraffic/disconnect_watcher.h
@@ -42,6 +42,10 @@
   /// withdrawn; null for none. Closes it at once if that has happened.
   void CloseOnDisconnect(http_connection* connection);
 
+  /// Sets the connection on which the rest of the request's body is read, and
+  /// on which the reading ends when the request is withdrawn; null for none.
+  void StopReadingOnWithdrawal(http_connection* sender);
+
   /// The client has disconnected, or is to get no answer.
   void Disconnect();
 
@@ -74,6 +78,7 @@
   shared_state own_;
   shared_state& state_;  ///< One of the two.
   client_watch* watch_ = nullptr;
+  http_connection* sender_ = nullptr;
   bool is_started_ = false;
 };
 
--- a/Libraries/LibTraffic/exchange.cc
+++ b/Libraries/LibTraffic/exchange.cc
@@ -206,11 +206,15 @@
   }
   attempt_result result;
   announced_write write;
+  if (request.remaining_body != nullptr) {
+    watch.StopReadingOnWithdrawal(request.remaining_body_connection);
+  }
   if (rules.is_body_announced) {
     write = co_await WriteAnnounced(*connection, request, deadline);
   } else {
     write.written = co_await WriteRequest(*connection, request, deadline);
   }
+  watch.StopReadingOnWithdrawal(nullptr);
   if (write.written == write_status::kWritten || write.is_answered) {
     result =
         co_await ReadAnswer(connection, request, deadline, clock, rules, watch);
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -177,7 +177,10 @@
     }
     outgoing_request request;
     const body_status read_status =
-        co_await ReadRequestBody(client_, parser_, request);
+        co_await ReadRequestBody(client_, parser_, deadline_, request);
+    if (read_status == body_status::kLate) {
+      co_return co_await Refuse(verdict::kNotRun, refusal_cause::kTooLate);
+    }
     if (read_status == body_status::kLost ||
         read_status == body_status::kInvalid) {
       co_return false;
--- a/Libraries/LibTraffic/http_connection.cc
+++ b/Libraries/LibTraffic/http_connection.cc
@@ -58,6 +58,11 @@
                            kUnacknowledgedTimeout);
 }
 
+void http_connection::StopReading() {
+  is_reading_stopped = true;
+  stream.cancel();
+}
+
 void http_connection::Close() {
   error_code ignored;
   stream.socket().close(ignored);
--- a/Libraries/LibTraffic/http_connection.h
+++ b/Libraries/LibTraffic/http_connection.h
@@ -71,6 +71,11 @@
   /// like a peer that is gone.
   void AllowSlowReading(time_point deadline);
 
+  /// Ends what waits for bytes, and every later read of a message, but leaves
+  /// the connection open, so that its peer can still be answered. The expiry of
+  /// the stream would close it.
+  void StopReading();
+
   void Close();
 
   boost::beast::tcp_stream stream;
@@ -81,7 +86,8 @@
   time_point idle_since{};
   /// How long the peer keeps it open while it is idle, as far as it says so.
   duration stated_idle_timeout = duration::max();
-  bool is_reused = false;  ///< Has carried an exchange before.
+  bool is_reused = false;           ///< Has carried an exchange before.
+  bool is_reading_stopped = false;  ///< See StopReading().
   /// X-Request-Id of the last complete exchange, by which a second copy of its
   /// answer is recognized; empty before the first.
   std::string last_request_id;
--- a/Libraries/LibTraffic/http_message.cc
+++ b/Libraries/LibTraffic/http_message.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "LibTraffic/reading_limit.h"
+
 namespace wagtailmount::detail {
 
 namespace {
@@ -14,6 +16,9 @@
 constexpr std::size_t kMaximumFramingBytes = kMaximumHeaderBytes;
 
 task<error_code> ReadMore(http_connection& connection) {
+  if (connection.is_reading_stopped) {
+    co_return boost::asio::error::operation_aborted;
+  }
   error_code failure;
   const std::size_t count = co_await connection.stream.async_read_some(
       connection.buffer.prepare(kReadBufferBytes), ReportTo(failure));
@@ -201,8 +206,7 @@
 task<body_status> ReadPieceFromSender(outgoing_request& request,
                                       time_point deadline, std::string& piece) {
   http_connection& sender = *request.remaining_body_connection;
-  sender.stream.expires_at(std::min<time_point>(
-      time_point::clock::now() + kBodyPieceTimeout, deadline));
+  const reading_limit limit{sender, deadline};
   co_return co_await ReadBodyPiece(sender, *request.remaining_body, piece);
 }
 
--- a/Libraries/LibTraffic/http_message.h
+++ b/Libraries/LibTraffic/http_message.h
@@ -18,6 +18,7 @@
   kComplete,  ///< The message has ended.
   kMore,      ///< The requested part was read; more follows.
   kLost,      ///< The connection was lost, or the peer was too slow.
+  kLate,      ///< Not sent in time by a peer that can still be answered.
   kInvalid,   ///< Malformed, or longer than allowed.
 };
 
@@ -85,7 +86,7 @@
 };
 
 /// Reads the next piece of a long body from its sender, until `deadline` at the
-/// latest.
+/// latest. The sender can still be answered then.
 task<body_status> ReadPieceFromSender(outgoing_request& request,
                                       time_point deadline, std::string& piece);
 
--- a/Libraries/LibTraffic/http_types.h
+++ b/Libraries/LibTraffic/http_types.h
@@ -52,8 +52,7 @@
 /// Ends a connection to a peer that acknowledges nothing. Allows several
 /// retransmissions on a lossy link and is well below request deadlines.
 inline constexpr std::chrono::milliseconds kUnacknowledgedTimeout{1'000};
-/// How long a peer may take for one piece of a body that it sends, and at least
-/// for one that it reads.
+/// How long a peer may at least take for one piece of an answer that it reads.
 inline constexpr std::chrono::seconds kBodyPieceTimeout{5};
 /// How long after the deadline the rest of a streamed answer may still come: it
 /// was begun in time, and most of it may be on the way.
--- a/Libraries/LibTraffic/request_reading.cc
+++ b/Libraries/LibTraffic/request_reading.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/write.hpp>
 
 #include "LibTraffic/header_fields.h"
+#include "LibTraffic/reading_limit.h"
 
 namespace wagtailmount::detail {
 
@@ -73,8 +74,12 @@
 
 task<body_status> ReadRequestBody(http_connection& connection,
                                   http_request_parser& parser,
+                                  time_point deadline,
                                   outgoing_request& request) {
-  connection.stream.expires_after(kBodyPieceTimeout);
+  std::optional<reading_limit> limit;
+  if (!parser.is_done()) {
+    limit.emplace(connection, deadline);
+  }
   if (IsContinueExpected(parser)) {
     if (!parser.is_done()) {
       const bool is_sent = co_await SendContinue(connection);
@@ -93,7 +98,9 @@
     request.remaining_body = &parser;
     request.remaining_body_connection = &connection;
   }
-  co_return read_status;
+  const bool is_late =
+      read_status == body_status::kLost && connection.is_reading_stopped;
+  co_return is_late ? body_status::kLate : read_status;
 }
 
 void SetFraming(outgoing_request& request, http_request_parser& parser) {
--- a/Libraries/LibTraffic/request_reading.h
+++ b/Libraries/LibTraffic/request_reading.h
@@ -33,10 +33,11 @@
 bool IsContinueExpected(http_request_parser& parser);
 
 /// Moves the header section out of the parser and reads the beginning of the
-/// body. Sends "100 Continue" first if the sender waits for it, and removes the
-/// Expect field; all other fields stay.
+/// body, until `deadline` at the latest. Sends "100 Continue" first if the
+/// sender waits for it, and removes the Expect field; all other fields stay.
 task<body_status> ReadRequestBody(http_connection& connection,
                                   http_request_parser& parser,
+                                  time_point deadline,
                                   outgoing_request& request);
 
 /// Sets the fields that delimit the body when the request is forwarded. Must be
