LibTraffic: Tell callers at a stop that a request queued elsewhere has not run

Cause: at the end the entry closed the connection on which it awaited the owner's answer, and so gave up the only word that could prove it. Ruled out: an own guess at the entry, since the owner may start the request meanwhile.

The entry now closes only its sending side. The owner takes that for a disconnect, as before, and refuses a queued request at once: it leaves the queue and the refusal goes back on the same connection. The entry waits for half of the time between the last answers and the end of the process, then answers 504 as before. A request whose requester leaves also gives its place in the queue back at once.

WhatBeganBeforeAStopIsAnsweredBeforeTheEnd expects 503 for the waiting request of an entry that stops; it got 504 on the unchanged code. The running one still gets 504.

--- a/Libraries/LibNode/catalog_node.cc
+++ b/Libraries/LibNode/catalog_node.cc
@@ -159,7 +159,8 @@
   // Kept to, even if the settings change meanwhile.
   stop_schedule_ = MakeStopSchedule(settings_.drain_grace);
   traffic_->BeginStop({.drain_from = stop_began_ + stop_schedule_.drain_at,
-                       .answer_by = stop_began_ + stop_schedule_.answer_by});
+                       .answer_by = stop_began_ + stop_schedule_.answer_by,
+                       .verdict_wait = stop_schedule_.verdict_wait});
   log_.Add(log_line{"stop-begun"}
                .Number("in_flight", static_cast<std::int64_t>(
                                         traffic_->Counters().in_flight))
--- a/Libraries/LibNode/node.cc
+++ b/Libraries/LibNode/node.cc
@@ -132,9 +132,9 @@
   drain_began_ = clock_.Now();
   control_->BeginDrain();
   traffic_->BeginLeaving();
-  const duration answer_period =
-      MakeStopSchedule(settings_.drain_grace).answer_by;
-  traffic_->BeginStop({.answer_by = drain_began_ + answer_period});
+  const stop_schedule schedule = MakeStopSchedule(settings_.drain_grace);
+  traffic_->BeginStop({.answer_by = drain_began_ + schedule.answer_by,
+                       .verdict_wait = schedule.verdict_wait});
 }
 
 void node::ContinueDrain() {
--- a/Libraries/LibNode/stop_schedule.cc
+++ b/Libraries/LibNode/stop_schedule.cc
@@ -41,12 +41,14 @@
   const duration cut_at =
       answer_by + std::min<duration>(kLastAnswerMargin,
                                      (period - answer_by) / kLastAnswerDivisor);
+  const duration end_by = cut_at + (period - cut_at) / 2;
   const duration drain_at = std::min<duration>(kCallerNoticePeriod, answer_by);
   return {.drain_at = drain_at,
           .close_at = std::min<duration>(drain_at + kLastRequestPeriod, cut_at),
           .answer_by = answer_by,
+          .verdict_wait = (end_by - answer_by) / 2,
           .cut_at = cut_at,
-          .end_by = cut_at + (period - cut_at) / 2};
+          .end_by = end_by};
 }
 
 stop_phase StopPhaseAt(duration elapsed, const stop_schedule& schedule,
--- a/Libraries/LibNode/stop_schedule.h
+++ b/Libraries/LibNode/stop_schedule.h
@@ -22,8 +22,11 @@
   duration drain_at{};   ///< Refuses new requests as not run from then on.
   duration close_at{};   ///< Closes the idle connections once it is idle.
   duration answer_by{};  ///< Gives the last answers.
-  duration cut_at{};     ///< Breaks off what is still in flight.
-  duration end_by{};     ///< Ends even if a thread had no turn to answer.
+  /// How long after that it waits for other nodes to say that a request has not
+  /// run.
+  duration verdict_wait{};
+  duration cut_at{};  ///< Breaks off what is still in flight.
+  duration end_by{};  ///< Ends even if a thread had no turn to answer.
 };
 
 /// Returns the schedule for a grace period. A request that its backend server
--- a/Libraries/LibTraffic/answers.cc
+++ b/Libraries/LibTraffic/answers.cc
@@ -96,8 +96,7 @@
 
 task<void> LingeringClose(http_connection& connection) {
   error_code failure;
-  connection.stream.socket().shutdown(
-      boost::asio::ip::tcp::socket::shutdown_send, failure);
+  connection.EndSending();
   std::array<char, 4096> dropped{};
   std::size_t count = 0;
   connection.stream.expires_after(kLingerTimeout);
--- a/Libraries/LibTraffic/backend_gate.cc
+++ b/Libraries/LibTraffic/backend_gate.cc
@@ -37,6 +37,14 @@
   ApplyEffects(admission_.RefuseQueued(cause));
 }
 
+void backend_gate::RefuseQueued(admission_id id, refusal_cause cause) {
+  const std::lock_guard lock{mutex_};
+  if (admission_.Withdraw(id)) {
+    const admission_effect refused{id, cause};
+    ApplyEffects({&refused, 1});
+  }
+}
+
 void backend_gate::SetMostCold(std::optional<std::size_t> most,
                                time_point unknown_until) {
   const std::lock_guard lock{mutex_};
@@ -73,7 +81,8 @@
   return admission_.Load(clock_.Now(), rank, kind);
 }
 
-task<slot_result> backend_gate::AcquireSlot(arriving_request arriving) {
+task<slot_result> backend_gate::AcquireSlot(arriving_request arriving,
+                                            disconnect_watcher& watch) {
   const auto executor = co_await boost::asio::this_coro::executor;
   std::shared_ptr<waiter> waiting;
   admission_reply reply;
@@ -93,7 +102,10 @@
   } else if (reply.decided == admission_reply::kind::kStart) {
     acquired.slot = backend_slot{*this, reply.id};
   } else {
+    watch.CallOnDisconnect(
+        [this, id = reply.id] { RefuseQueued(id, refusal_cause::kAbandoned); });
     acquired = co_await Wait(reply.id, std::move(waiting), reply.start_by);
+    watch.CallOnDisconnect({});
   }
   co_return acquired;
 }
--- a/Libraries/LibTraffic/backend_gate.h
+++ b/Libraries/LibTraffic/backend_gate.h
@@ -10,6 +10,7 @@
 #include <span>
 
 #include "LibLoad/admission_controller.h"
+#include "LibTraffic/disconnect_watcher.h"
 #include "LibTraffic/http_connection.h"
 #include "LibTraffic/http_types.h"
 
@@ -89,8 +90,10 @@
   /// See backend_slot::TrySend(). Called by backend_slot only.
   bool TrySend(admission_id id);
 
-  /// Waits for a slot, for at most as long as the admission policy allows.
-  task<slot_result> AcquireSlot(arriving_request arriving);
+  /// Waits for a slot, for at most as long as the admission policy allows, and
+  /// as long as the requester waits for an answer.
+  task<slot_result> AcquireSlot(arriving_request arriving,
+                                disconnect_watcher& watch);
 
   /// Drops the requests that wait for a slot. Must be called before the
   /// io_contexts end, which the waiters' timers use, and after their threads.
@@ -120,6 +123,7 @@
     return rate_limit_ || is_cold_ || admission_.HoldsAbandoned(clock_.Now());
   }
   void ApplyEffects(std::span<const admission_effect> effects);
+  void RefuseQueued(admission_id id, refusal_cause cause);
   static void Wake(const std::shared_ptr<waiter>& waiting);
   void WakeForNextStart();
   task<slot_result> Wait(admission_id id, std::shared_ptr<waiter> waiting,
--- a/Libraries/LibTraffic/disconnect_watcher.cc
+++ b/Libraries/LibTraffic/disconnect_watcher.cc
@@ -43,13 +43,22 @@
       });
 }
 
-void disconnect_watcher::CloseOnDisconnect(http_connection* connection) {
+void disconnect_watcher::CloseOnDisconnect(http_connection* connection,
+                                           withdrawal when_withdrawn) {
   state_.connection_to_close = connection;
+  state_.when_withdrawn = when_withdrawn;
   if (state_.has_disconnected || state_.is_withdrawn) {
     state_.Close();
   }
 }
 
+void disconnect_watcher::CallOnDisconnect(std::function<void()> action) {
+  state_.on_disconnect = std::move(action);
+  if (state_.on_disconnect && state_.has_disconnected) {
+    state_.on_disconnect();
+  }
+}
+
 void disconnect_watcher::StopReadingOnWithdrawal(http_connection* sender) {
   sender_ = sender;
   if (sender_ != nullptr && state_.is_withdrawn) {
@@ -61,7 +70,12 @@
 
 void disconnect_watcher::Withdraw() {
   state_.is_withdrawn = true;
-  state_.Close();
+  if (state_.connection_to_close != nullptr &&
+      state_.when_withdrawn == withdrawal::kCallOff) {
+    state_.connection_to_close->EndSending();
+  } else {
+    state_.Close();
+  }
   if (sender_ != nullptr) {
     sender_->StopReading();
   }
@@ -74,6 +88,9 @@
 void disconnect_watcher::shared_state::Disconnect() {
   has_disconnected = true;
   Close();
+  if (on_disconnect) {
+    on_disconnect();
+  }
 }
 
 void disconnect_watcher::shared_state::Close() {
--- a/Libraries/LibTraffic/disconnect_watcher.h
+++ b/Libraries/LibTraffic/disconnect_watcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 
 #include "LibTraffic/http_connection.h"
@@ -8,6 +9,14 @@
 
 class disconnect_watcher;
 
+/// What a withdrawn request does to the connection on which its answer is
+/// awaited.
+enum class withdrawal : std::uint8_t {
+  kClose,    ///< Closes it.
+  kCallOff,  ///< Closes its sending side, which the peer, another node, takes
+             ///< for a disconnect: it refuses the request if it is queued.
+};
+
 /// Watches a connection to a client for several requests that are served on it
 /// side by side, and calls disconnect_watcher::Disconnect() for each.
 class client_watch {
@@ -38,9 +47,15 @@
   /// being read.
   void Start();
 
-  /// Sets the connection to close when the client disconnects or the request is
-  /// withdrawn; null for none. Closes it at once if that has happened.
-  void CloseOnDisconnect(http_connection* connection);
+  /// Sets the connection to close when the client disconnects, and what happens
+  /// to it when the request is withdrawn; null for none. Closes it at once if
+  /// one of them has happened.
+  void CloseOnDisconnect(http_connection* connection,
+                         withdrawal when_withdrawn = withdrawal::kClose);
+
+  /// Sets what is done when the client disconnects; empty for nothing. Does it
+  /// at once if that has happened.
+  void CallOnDisconnect(std::function<void()> action);
 
   /// Sets the connection on which the rest of the request's body is read, and
   /// on which the reading ends when the request is withdrawn; null for none.
@@ -52,6 +67,10 @@
   /// Ends the request like its deadline: its client is still to be answered.
   void Withdraw();
 
+  /// After Withdraw(): ends the wait for another node to say what became of the
+  /// request.
+  void EndWithdrawal() { state_.Close(); }
+
   /// Whether the request was cancelled by Disconnect(); asks nobody.
   bool IsCancelled() const { return state_.has_disconnected; }
 
@@ -67,6 +86,8 @@
   struct shared_state {
     http_connection* client = nullptr;  ///< Null once the watcher is destroyed.
     http_connection* connection_to_close = nullptr;
+    withdrawal when_withdrawn = withdrawal::kClose;
+    std::function<void()> on_disconnect;
     bool has_disconnected = false;
     bool is_withdrawn = false;
 
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -306,7 +306,7 @@
     if (!ended.answer) {
       // Keeps the answer of an earlier attempt, if there is one.
       result.cause = result.answer ? refusal_cause::kNone : judged.cause;
-      co_return judged.may_try_again;
+      co_return judged.may_try_again && !watch_.IsWithdrawn();
     }
     service_state_.sizes.Learn(incoming_.chosen_route.name,
                                ended.answer->body.size());
--- a/Libraries/LibTraffic/exchange.cc
+++ b/Libraries/LibTraffic/exchange.cc
@@ -198,7 +198,7 @@
                               outgoing_request& request, time_point deadline,
                               const runtime_clock& clock, answer_rules rules,
                               disconnect_watcher& watch) {
-  watch.CloseOnDisconnect(connection.get());
+  watch.CloseOnDisconnect(connection.get(), rules.when_withdrawn);
   connection->stream.expires_after(deadline - clock.Now());
   const bool is_long = IsBodyAnnounced(request);
   if (is_long && !rules.is_body_announced) {
--- a/Libraries/LibTraffic/exchange.h
+++ b/Libraries/LibTraffic/exchange.h
@@ -45,6 +45,7 @@
   bool may_end_with_connection = false;
   /// Asks for a go-ahead before the body is sent; see body_go_ahead.h.
   bool is_body_announced = false;
+  withdrawal when_withdrawn = withdrawal::kClose;
 };
 
 /// Writes `request` on `connection` and reads the answer. Ends at `deadline`,
--- a/Libraries/LibTraffic/http_connection.cc
+++ b/Libraries/LibTraffic/http_connection.cc
@@ -63,6 +63,12 @@
   stream.cancel();
 }
 
+void http_connection::EndSending() {
+  error_code ignored;
+  stream.socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send,
+                           ignored);
+}
+
 void http_connection::Close() {
   error_code ignored;
   stream.socket().close(ignored);
--- a/Libraries/LibTraffic/http_connection.h
+++ b/Libraries/LibTraffic/http_connection.h
@@ -76,6 +76,9 @@
   /// the stream would close it.
   void StopReading();
 
+  /// Closes the sending side only.
+  void EndSending();
+
   void Close();
 
   boost::beast::tcp_stream stream;
--- a/Libraries/LibTraffic/owner.cc
+++ b/Libraries/LibTraffic/owner.cc
@@ -260,7 +260,8 @@
   } else {
     acquired =
         co_await state.gate.AcquireSlot({incoming.deadline, incoming.priority,
-                                         incoming.objective, incoming.kind});
+                                         incoming.objective, incoming.kind},
+                                        incoming.watch);
   }
   std::unique_ptr<http_connection> connection;
   if (acquired.refused == refusal_cause::kNone) {
--- a/Libraries/LibTraffic/owner_call.cc
+++ b/Libraries/LibTraffic/owner_call.cc
@@ -101,6 +101,18 @@
   result.answer.reset();
 }
 
+// What an owner says of a request that this node has called off by closing the
+// sending side of its connection.
+void ConvertCalledOff(attempt_result& result) {
+  const bool is_not_run = result.outcome == attempt_outcome::kRefusedNotRun &&
+                          result.cause == refusal_cause::kAbandoned;
+  if (is_not_run) {
+    result.cause = refusal_cause::kDraining;
+  } else if (result.outcome == attempt_outcome::kRefusedMayHaveRun) {
+    result.outcome = attempt_outcome::kNoAnswerInTime;
+  }
+}
+
 // Whether the owner may be cut off, or its connections silent.
 bool IsUnanswered(attempt_outcome outcome) {
   return outcome == attempt_outcome::kLostWhileWriting ||
@@ -143,11 +155,12 @@
                   worker.pool.ClockOf(owner.hop));
   SetKnownRateLimit(incoming.request.message, worker.state, owner);
   SetKnownCrashes(incoming.request, worker.state);
-  result = co_await Exchange(
-      connection, incoming.request, incoming.deadline, clock,
-      {.id = request_id_rule::kRequired,
-       .is_body_announced = IsBodyAnnounced(incoming.request)},
-      watch);
+  result =
+      co_await Exchange(connection, incoming.request, incoming.deadline, clock,
+                        {.id = request_id_rule::kRequired,
+                         .is_body_announced = IsBodyAnnounced(incoming.request),
+                         .when_withdrawn = withdrawal::kCallOff},
+                        watch);
   RecordOwnerClock(worker.pool.ClockOf(owner.hop), result, clock.Now());
   if (connection != nullptr) {
     worker.pool.Keep(owner.hop, std::move(connection), clock.Now());
@@ -161,6 +174,9 @@
                       FieldOf(result.answer->message, kCrashesField));
   }
   ExtractVerdictAndLoad(result);
+  if (watch.IsWithdrawn()) {
+    ConvertCalledOff(result);
+  }
   co_return result;
 }
 
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -124,6 +124,9 @@
   time_point drain_from = time_point::max();
   /// When the last answers are given.
   time_point answer_by = time_point::max();
+  /// How long after that another node may still say of a request that was
+  /// withdrawn from its queue that it has not run.
+  duration verdict_wait{};
 };
 
 /// The request path: serves connections of callers and of other nodes on
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -91,9 +91,9 @@
   }
 }
 
-void traffic_worker::WithdrawAt(time_point end) {
+void traffic_worker::WithdrawAt(time_point end, duration verdict_wait) {
   withdraw_timer.expires_after(end - state.clock.Now());
-  withdraw_timer.async_wait([this](error_code failure) {
+  withdraw_timer.async_wait([this, end, verdict_wait](error_code failure) {
     if (failure) {
       return;
     }
@@ -106,8 +106,29 @@
     for (disconnect_watcher* const request : served_requests) {
       request->Withdraw();
     }
+    EndWithdrawalsBy(end + verdict_wait);
+  });
+}
+
+// Waits until the requests that were withdrawn have ended, `end` at the latest.
+void traffic_worker::EndWithdrawalsBy(time_point end) {
+  constexpr std::chrono::milliseconds kLookInterval{10};
+  const bool is_over = state.clock.Now() >= end;
+  if (is_over) {
+    for (disconnect_watcher* const request : served_requests) {
+      request->EndWithdrawal();
+    }
+  }
+  if (is_over || served_requests.empty()) {
     // Runs after those requests have gone on.
     boost::asio::post(context, [this] { has_withdrawn = true; });
+    return;
+  }
+  withdraw_timer.expires_after(kLookInterval);
+  withdraw_timer.async_wait([this, end](error_code failure) {
+    if (!failure) {
+      EndWithdrawalsBy(end);
+    }
   });
 }
 
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -168,8 +168,9 @@
   task<void> CloseIdleClients();
 
   /// At `end`, withdraws all requests that run or wait, here or at other nodes,
-  /// so that they are answered while this process can still do so.
-  void WithdrawAt(time_point end);
+  /// so that they are answered while this process can still do so. Other nodes
+  /// have `verdict_wait` to say that one has not run.
+  void WithdrawAt(time_point end, duration verdict_wait);
 
   traffic_state& state;
   // Declared before the context, whose coroutines hold guards of it.
@@ -183,6 +184,9 @@
   boost::asio::steady_timer withdraw_timer;
   // Declared after the context, so that idle connections are destroyed first.
   connection_pool pool;
+
+ private:
+  void EndWithdrawalsBy(time_point end);
 };
 
 /// Lists a request as served by `worker` for the lifetime of the guard.
--- a/Tests/LibTraffic/test_planned_stop.cc
+++ b/Tests/LibTraffic/test_planned_stop.cc
@@ -21,10 +21,10 @@
     unsigned running_status;
     unsigned waiting_status;
   };
-  // An owner knows that a queued request hasn't run; an entry that withdraws it
-  // from there doesn't.
+  // An owner knows that a queued request hasn't run, and tells an entry that
+  // withdraws it from there.
   const stop_case table[] = {
-      {false, false, 504, 504},
+      {false, false, 504, 503},
       {false, true, 502, 503},
       {true, true, 504, 503},
   };
@@ -44,7 +44,8 @@
         "Content-Length: 2\r\n\r\nab");
     std::this_thread::sleep_for(std::chrono::milliseconds{100});
     const time_point answer_by = fixture.Now() + kAnswerIn;
-    stopping.server->BeginStop({.answer_by = answer_by});
+    stopping.server->BeginStop(
+        {.answer_by = answer_by, .verdict_wait = kEndMargin / 2});
     BOOST_TEST(waiting.Receive().status == each.waiting_status);
     BOOST_TEST(running.Receive().status == each.running_status);
     BOOST_TEST((fixture.Now() >= answer_by));
