LibTraffic: Close idle connections between nodes with a notice

Cause: neither a reset nor an end of the stream proves that a request was not read; a process that was killed leaves both behind.

An owner now says so before it closes an idle connection: an answer with Wagtailmount-Closing, to no request. What crosses it is never read, so the entry takes it for a refusal as not run and tries another owner. The owner then goes on reading and dropping for 200 ms, so that no reset overtakes the notice. Without that field, a refusal that names no request still proves nothing (ARefusalThatNamesNoRequestProvesNothing).

AnIdleConnectionOfAnotherNodeIsClosedWithANotice and ARequestThatCrossesTheNoticeHasNotRun failed on the unchanged code (no notice; 502 for 503).

--- a/Libraries/LibTraffic/answers.cc
+++ b/Libraries/LibTraffic/answers.cc
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr unsigned kHttpVersion11 = 11;
-constexpr std::chrono::seconds kLingerTimeout{1};
 constexpr std::size_t kMaximumLingerBytes = std::size_t{1024} * 1024;
 
 bool HasNoBodyByStatus(http::status status) {
@@ -62,6 +61,9 @@
   if (refusal.is_backend_leaving) {
     SetField(message, kBackendLeavingField, "1");
   }
+  if (refusal.is_closing_notice) {
+    SetField(message, kClosingField, "1");
+  }
   message.set(http::field::content_type, "text/plain");
   message.keep_alive(refusal.is_kept_alive);
   std::string text{NameOf(refusal.proved)};
@@ -94,12 +96,12 @@
   SetField(message, kRequestIdField, request_id);
 }
 
-task<void> LingeringClose(http_connection& connection) {
+task<void> LingeringClose(http_connection& connection, duration timeout) {
   error_code failure;
   connection.EndSending();
   std::array<char, 4096> dropped{};
   std::size_t count = 0;
-  connection.stream.expires_after(kLingerTimeout);
+  connection.stream.expires_after(timeout);
   while (!failure && count < kMaximumLingerBytes) {
     count += co_await connection.stream.async_read_some(
         boost::asio::buffer(dropped), ReportTo(failure));
--- a/Libraries/LibTraffic/answers.h
+++ b/Libraries/LibTraffic/answers.h
@@ -27,8 +27,12 @@
   bool has_reached_backend_server = false;  ///< With part of the request.
   std::string_view crash_reports;   ///< For another node; empty if none.
   bool is_backend_leaving = false;  ///< By its own answers.
+  bool is_closing_notice = false;   ///< See kClosingField.
 };
 
+/// How long a connection that is being closed lets its peer go on sending.
+inline constexpr std::chrono::milliseconds kLingerTimeout{1'000};
+
 /// Writes a refusal; false when the connection failed.
 task<bool> WriteRefusal(http_connection& connection, refusal_answer refusal);
 
@@ -39,8 +43,9 @@
 
 /// Closes a connection so that the last answer reaches a peer that is still
 /// sending: shuts down the sending side, then reads and discards input for at
-/// most 1 s or 1 MiB. A close with unread input would reset the connection, and
-/// the peer could lose the answer.
-task<void> LingeringClose(http_connection& connection);
+/// most `timeout` or 1 MiB. A close with unread input would reset the
+/// connection, and the peer could lose the answer.
+task<void> LingeringClose(http_connection& connection,
+                          duration timeout = kLingerTimeout);
 
 }  // namespace wagtailmount::detail
--- a/Libraries/LibTraffic/exchange.cc
+++ b/Libraries/LibTraffic/exchange.cc
@@ -153,6 +153,11 @@
                                           : attempt_outcome::kNoAnswerInTime;
     co_return result;
   }
+  if (rules.is_other_node && !FieldOf(parser->get(), kClosingField).empty()) {
+    result.outcome = attempt_outcome::kRefusedNotRun;
+    result.cause = refusal_cause::kDraining;
+    co_return result;
+  }
   if (parser->need_eof() && !parser->is_done() &&
       !rules.may_end_with_connection) {
     // A body that ends when the connection is closed can't be told from a
@@ -198,7 +203,9 @@
                               outgoing_request& request, time_point deadline,
                               const runtime_clock& clock, answer_rules rules,
                               disconnect_watcher& watch) {
-  watch.CloseOnDisconnect(connection.get(), rules.when_withdrawn);
+  watch.CloseOnDisconnect(connection.get(), rules.is_other_node
+                                                ? withdrawal::kCallOff
+                                                : withdrawal::kClose);
   connection->stream.expires_after(deadline - clock.Now());
   const bool is_long = IsBodyAnnounced(request);
   if (is_long && !rules.is_body_announced) {
--- a/Libraries/LibTraffic/exchange.h
+++ b/Libraries/LibTraffic/exchange.h
@@ -45,7 +45,9 @@
   bool may_end_with_connection = false;
   /// Asks for a go-ahead before the body is sent; see body_go_ahead.h.
   bool is_body_announced = false;
-  withdrawal when_withdrawn = withdrawal::kClose;
+  /// The peer is another node: it refuses a queued request that is called off,
+  /// and says so when it closes the connection unread.
+  bool is_other_node = false;
 };
 
 /// Writes `request` on `connection` and reads the answer. Ends at `deadline`,
--- a/Libraries/LibTraffic/header_fields.h
+++ b/Libraries/LibTraffic/header_fields.h
@@ -39,6 +39,9 @@
 /// In refusals: the backend server states in its answers that it leaves.
 inline constexpr std::string_view kBackendLeavingField =
     "Wagtailmount-Backend-Leaving";
+/// In an answer to no request, with which an owner closes an idle connection:
+/// it has not read a request that crosses it, and never will.
+inline constexpr std::string_view kClosingField = "Wagtailmount-Closing";
 /// In the go-ahead for a large body: how many bytes a second its sender may
 /// send; missing if that is not bounded.
 inline constexpr std::string_view kBodyRateField = "Wagtailmount-Body-Rate";
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -293,6 +293,23 @@
   std::optional<body_transfer> transfer_;  ///< While the body may arrive.
 };
 
+// Closes an idle connection. A close alone would not tell the other node
+// whether a request that crosses it was read.
+task<void> CloseWithNotice(traffic_worker& worker, http_connection& client) {
+  // Longer than a request is on its way between two nodes.
+  constexpr std::chrono::milliseconds kCrossingTime{200};
+  ++worker.closing_clients;
+  refusal_answer notice;
+  notice.reason = NameOf(refusal_cause::kDraining);
+  notice.is_kept_alive = false;
+  notice.is_closing_notice = true;
+  const bool is_written = co_await WriteRefusal(client, notice);
+  if (is_written) {
+    co_await LingeringClose(client, kCrossingTime);
+  }
+  --worker.closing_clients;
+}
+
 }  // namespace
 
 task<void> ServeHop(traffic_worker& worker,
@@ -302,6 +319,9 @@
   while (is_kept_alive) {
     const bool has_request =
         co_await worker.WaitForClient(client, kIdleHopTimeout);
+    if (!has_request && worker.state.is_closing) {
+      co_await CloseWithNotice(worker, client);
+    }
     if (!has_request) {
       break;
     }
--- a/Libraries/LibTraffic/owner_call.cc
+++ b/Libraries/LibTraffic/owner_call.cc
@@ -159,7 +159,7 @@
       co_await Exchange(connection, incoming.request, incoming.deadline, clock,
                         {.id = request_id_rule::kRequired,
                          .is_body_announced = IsBodyAnnounced(incoming.request),
-                         .when_withdrawn = withdrawal::kCallOff},
+                         .is_other_node = true},
                         watch);
   RecordOwnerClock(worker.pool.ClockOf(owner.hop), result, clock.Now());
   if (connection != nullptr) {
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -89,6 +89,11 @@
     // A request that has just been read is not affected, and is served.
     client->stream.cancel();
   }
+  do {
+    timer.expires_after(kReadInterval);
+    error_code ignored;
+    co_await timer.async_wait(ReportTo(ignored));
+  } while (closing_clients > 0);
 }
 
 void traffic_worker::WithdrawAt(time_point end, duration verdict_wait) {
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -164,7 +164,7 @@
 
   /// Ends the wait for all clients, and with it their connections, once what
   /// has arrived from them is read. What such a client sends from then on stays
-  /// unread, and the reset tells it so.
+  /// unread; a caller learns it from the reset, another node is told.
   task<void> CloseIdleClients();
 
   /// At `end`, withdraws all requests that run or wait, here or at other nodes,
@@ -181,6 +181,8 @@
   std::map<std::string, service_state, std::less<>> services;
   caller_wait_estimator patience;
   std::set<http_connection*> idle_clients;
+  /// Other nodes that are being told that their connection is closed.
+  std::size_t closing_clients = 0;
   boost::asio::steady_timer withdraw_timer;
   // Declared after the context, so that idle connections are destroyed first.
   connection_pool pool;
--- a/Tests/LibTraffic/test_hop_age.cc
+++ b/Tests/LibTraffic/test_hop_age.cc
@@ -1,20 +1,15 @@
 // Requests between nodes that spent a part of their time on the way.
 
-#include <sys/socket.h>
-#include <unistd.h>
-
 #include <boost/test/unit_test.hpp>
 #include <string>
-#include <thread>
-#include <vector>
 
 #include "LibTraffic/peer_clock.h"
 #include "Tests/LibTraffic/raw_http.h"
+#include "Tests/LibTraffic/scripted_owner.h"
 #include "Tests/LibTraffic/traffic_fixture.h"
 
 using namespace wagtailmount::testing;  // NOLINT(google-build-using-namespace)
 using std::chrono::milliseconds;
-using wagtailmount::endpoint;
 using wagtailmount::detail::StatedTime;
 
 namespace {
@@ -39,70 +34,14 @@
   }
 };
 
-// An owner that states its clock and ends the connection after each answer.
-class closing_owner {
- public:
-  explicit closing_owner(int answers) : listener_(Listen(address_)) {
-    thread_ = std::thread([this, answers] {
-      for (int count = 0; count < answers; ++count) {
-        AnswerNext();
-      }
-    });
-  }
-  closing_owner(const closing_owner&) = delete;
-  closing_owner& operator=(const closing_owner&) = delete;
-  ~closing_owner() {
-    WaitForEnd();
-    close(listener_);
-  }
-
-  const endpoint& Address() const { return address_; }
-  /// Waits until all answers have been given and returns the header section of
-  /// each request.
-  const std::vector<std::string>& Heads() {
-    WaitForEnd();
-    return heads_;
-  }
-
- private:
-  static int Listen(const endpoint& address) {
-    const int listener = socket(AF_INET, SOCK_STREAM, 0);
-    const sockaddr_in bound = AddressOf(address);
-    BOOST_REQUIRE(bind(listener, reinterpret_cast<const sockaddr*>(&bound),
-                       sizeof bound) == 0);
-    BOOST_REQUIRE(listen(listener, 1) == 0);
-    const timeval patience{.tv_sec = 10, .tv_usec = 0};
-    setsockopt(listener, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
-    return listener;
-  }
-
-  void WaitForEnd() {
-    if (thread_.joinable()) {
-      thread_.join();
-    }
-  }
-
-  void AnswerNext() {
-    const int connection = accept(listener_, nullptr, nullptr);
-    std::string head;
-    while (head.find("\r\n\r\n") == std::string::npos &&
-           ReceiveSome(connection, head)) {
-    }
-    const auto now = StatedTime(std::chrono::steady_clock::now()).count();
-    SendAll(connection,
-            "HTTP/1.1 200 OK\r\nWagtailmount-Verdict: ran\r\nX-Request-Id: " +
-                HeaderValue(head, "X-Request-Id") +
-                "\r\nWagtailmount-Clock: " + std::to_string(now) +
-                "\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok");
-    heads_.push_back(head);
-    close(connection);
-  }
-
-  endpoint address_ = FreeEndpoint();
-  int listener_ = -1;
-  std::vector<std::string> heads_;
-  std::thread thread_;
-};
+// The answer of an owner that states its clock and ends the connection.
+std::string AnswerAndClose(const std::string& head) {
+  const auto now = StatedTime(std::chrono::steady_clock::now()).count();
+  return "HTTP/1.1 200 OK\r\nWagtailmount-Verdict: ran\r\nX-Request-Id: " +
+         HeaderValue(head, "X-Request-Id") +
+         "\r\nWagtailmount-Clock: " + std::to_string(now) +
+         "\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok";
+}
 
 }  // namespace
 
@@ -161,7 +100,7 @@
 // Each connection learned the other node's clock anew, so the first request on
 // one could lie unread there until long after its deadline, and then start.
 BOOST_AUTO_TEST_CASE(TheFirstRequestOnANewConnectionStatesItsDeadline) {
-  closing_owner owner{2};
+  scripted_owner owner{2, AnswerAndClose};
   Publish(
       [&owner](wagtailmount::upstream& each) { each.hop = owner.Address(); });
   BOOST_TEST(Call(Entry().caller_address, "GET", "/").status == 200);
--- a/Tests/LibTraffic/test_planned_stop.cc
+++ b/Tests/LibTraffic/test_planned_stop.cc
@@ -1,6 +1,7 @@
 #include <boost/test/unit_test.hpp>
 #include <thread>
 
+#include "Tests/LibTraffic/scripted_owner.h"
 #include "Tests/LibTraffic/traffic_fixture.h"
 
 using wagtailmount::time_point;
@@ -72,4 +73,64 @@
   BOOST_TEST(stopping.backend_server->TotalRuns() == 0);
 }
 
+// Guards against requests that cross the close of an idle connection between
+// two nodes, and are answered as if they might have run.
+BOOST_AUTO_TEST_CASE(AnIdleConnectionOfAnotherNodeIsClosedWithANotice) {
+  traffic_fixture fixture{1};
+  fixture.Publish();
+  auto& stopping = fixture.Owner(1);
+  const auto request = [](const std::string& id) {
+    return "POST / HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + id +
+           "\r\nWagtailmount-Hop: vm-1 ledger 3000 0 1\r\n"
+           "Content-Length: 2\r\n\r\nab";
+  };
+  test_caller other_node{stopping.hop_address};
+  other_node.Send(request("before"));
+  BOOST_REQUIRE(other_node.Receive().status == 200);
+  stopping.server->BeginDrain();
+  stopping.server->CloseIdleConnections();
+  const auto notice = other_node.Receive();
+  BOOST_TEST(notice.Field("Wagtailmount-Closing") == "1");
+  BOOST_TEST(notice.Field("Wagtailmount-Verdict") == "not-run");
+  BOOST_TEST(notice.Field("X-Request-Id") == "");
+  other_node.Send(request("crossing"));
+  BOOST_TEST(other_node.IsClosed());
+  BOOST_TEST(
+      Eventually([&] { return stopping.server->HasClosedIdleConnections(); }));
+  BOOST_TEST(stopping.backend_server->RunCount("crossing") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(ARequestThatCrossesTheNoticeHasNotRun) {
+  traffic_fixture fixture{1};
+  scripted_owner closing{2, [](const std::string&) {
+                           return "HTTP/1.1 503 Service Unavailable\r\n"
+                                  "Wagtailmount-Verdict: not-run\r\n"
+                                  "Wagtailmount-Reason: draining\r\n"
+                                  "Wagtailmount-Closing: 1\r\n"
+                                  "Content-Length: 0\r\n\r\n";
+                         }};
+  fixture.Publish([&closing](wagtailmount::upstream& each) {
+    each.hop = closing.Address();
+  });
+  for (const char* method : {"GET", "POST"}) {
+    const auto answer = Call(fixture.Entry().caller_address, method, "/");
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(answer.Field("Wagtailmount-Verdict") == "not-run");
+  }
+}
+
+// What another answer without the id of the request says is not about it.
+BOOST_AUTO_TEST_CASE(ARefusalThatNamesNoRequestProvesNothing) {
+  traffic_fixture fixture{1};
+  scripted_owner faulty{1, [](const std::string&) {
+                          return "HTTP/1.1 503 Service Unavailable\r\n"
+                                 "Wagtailmount-Verdict: not-run\r\n"
+                                 "Wagtailmount-Reason: draining\r\n"
+                                 "Content-Length: 0\r\n\r\n";
+                        }};
+  fixture.Publish(
+      [&faulty](wagtailmount::upstream& each) { each.hop = faulty.Address(); });
+  BOOST_TEST(Call(fixture.Entry().caller_address, "POST", "/").status == 502);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
