LibNode: Give long answers that are on their way the whole grace period

Cause: the cut did not distinguish a request that was withdrawn from an answer that is being written. The process now cuts then only what has no answer on its way, and everything 0.4 s before the end, as for a thread that had no turn. What remains: an answer that its caller needs longer for is still cut, as the process must end; the kernel delivers what it has taken.

The new cases of AStopGoesThroughItsPhases name this; the unchanged code has no such state, so they don't compile there.

--- a/Libraries/LibNode/catalog_node.cc
+++ b/Libraries/LibNode/catalog_node.cc
@@ -172,9 +172,11 @@
     return;
   }
   const duration elapsed = clock_.Now() - stop_began_;
-  switch (StopPhaseAt(elapsed, stop_schedule_,
-                      {.is_idle = traffic_->IsIdle(),
-                       .has_withdrawn = traffic_->HasWithdrawn()})) {
+  const stop_progress progress{
+      .is_idle = traffic_->IsIdle(),
+      .has_withdrawn = traffic_->HasWithdrawn(),
+      .is_answering = traffic_->Counters().answers_being_written > 0};
+  switch (StopPhaseAt(elapsed, stop_schedule_, progress)) {
     case stop_phase::kNotice:
       break;
     case stop_phase::kDrain:
--- a/Libraries/LibNode/stop_schedule.cc
+++ b/Libraries/LibNode/stop_schedule.cc
@@ -56,8 +56,9 @@
   if (elapsed >= schedule.close_at && progress.is_idle) {
     return stop_phase::kClose;
   }
+  const bool is_answered = progress.has_withdrawn && !progress.is_answering;
   if (elapsed >= schedule.end_by ||
-      (elapsed >= schedule.cut_at && progress.has_withdrawn)) {
+      (elapsed >= schedule.cut_at && is_answered)) {
     return stop_phase::kCut;
   }
   return elapsed >= schedule.drain_at ? stop_phase::kDrain
--- a/Libraries/LibNode/stop_schedule.h
+++ b/Libraries/LibNode/stop_schedule.h
@@ -25,8 +25,8 @@
   /// How long after that it waits for other nodes to say that a request has not
   /// run.
   duration verdict_wait{};
-  duration cut_at{};  ///< Breaks off what is still in flight.
-  duration end_by{};  ///< Ends even if a thread had no turn to answer.
+  duration cut_at{};  ///< Breaks off what has no answer on its way.
+  duration end_by{};  ///< Breaks off everything.
 };
 
 /// Returns the schedule for a grace period. A request that its backend server
@@ -39,6 +39,7 @@
 struct stop_progress {
   bool is_idle = false;        ///< There are none.
   bool has_withdrawn = false;  ///< Those that were left have been withdrawn.
+  bool is_answering = false;   ///< Answers are on their way to slow readers.
 };
 
 /// Returns what a node does `elapsed` after it was told to stop.
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -76,6 +76,8 @@
   std::uint64_t pipelined_cancelled = 0;
   /// Bytes of answers that wait for others on their connection, now.
   std::uint64_t pipelined_waiting_bytes = 0;
+  /// Answers that are on their way to callers or other nodes, now.
+  std::uint64_t answers_being_written = 0;
   std::uint64_t caller_connections = 0;  ///< Current number, not a total.
   std::uint64_t in_flight = 0;           ///< Current number, not a total.
 };
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -29,6 +29,7 @@
   counts.pipelined_requests = pipelined_requests;
   counts.pipelined_cancelled = pipelined_cancelled;
   counts.pipelined_waiting_bytes = pipelined_waiting_bytes;
+  counts.answers_being_written = answers_being_written;
   counts.caller_connections = caller_connections;
   counts.in_flight = in_flight;
   return counts;
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -47,6 +47,7 @@
   std::atomic<std::uint64_t> pipelined_requests{0};
   std::atomic<std::uint64_t> pipelined_cancelled{0};
   std::atomic<std::uint64_t> pipelined_waiting_bytes{0};
+  std::atomic<std::uint64_t> answers_being_written{0};
   std::atomic<std::uint64_t> caller_connections{0};
   std::atomic<std::uint64_t> in_flight{0};
 
--- a/Tests/LibNode/test_stop_schedule.cc
+++ b/Tests/LibNode/test_stop_schedule.cc
@@ -21,29 +21,35 @@
     milliseconds elapsed;
     bool is_idle;
     bool has_withdrawn;
+    bool is_answering;
     stop_phase expected;
   };
   const stop_schedule schedule = MakeStopSchedule(milliseconds{6'000});
   const phase_case table[] = {
-      {milliseconds{0}, true, false, stop_phase::kNotice},
-      {milliseconds{2'599}, true, false, stop_phase::kNotice},
-      {milliseconds{2'600}, true, false, stop_phase::kDrain},
-      {milliseconds{2'899}, true, false, stop_phase::kDrain},
-      {milliseconds{2'900}, true, false, stop_phase::kClose},
-      {milliseconds{2'900}, false, false, stop_phase::kDrain},
-      {milliseconds{5'199}, false, true, stop_phase::kDrain},
-      {milliseconds{5'200}, false, true, stop_phase::kCut},
-      {milliseconds{5'200}, true, true, stop_phase::kClose},
+      {milliseconds{0}, true, false, false, stop_phase::kNotice},
+      {milliseconds{2'599}, true, false, false, stop_phase::kNotice},
+      {milliseconds{2'600}, true, false, false, stop_phase::kDrain},
+      {milliseconds{2'899}, true, false, false, stop_phase::kDrain},
+      {milliseconds{2'900}, true, false, false, stop_phase::kClose},
+      {milliseconds{2'900}, false, false, false, stop_phase::kDrain},
+      {milliseconds{5'199}, false, true, false, stop_phase::kDrain},
+      {milliseconds{5'200}, false, true, false, stop_phase::kCut},
+      {milliseconds{5'200}, true, true, false, stop_phase::kClose},
       // A thread that had no turn has not answered what it serves.
-      {milliseconds{5'200}, false, false, stop_phase::kDrain},
-      {milliseconds{5'599}, false, false, stop_phase::kDrain},
-      {milliseconds{5'600}, false, false, stop_phase::kCut},
+      {milliseconds{5'200}, false, false, false, stop_phase::kDrain},
+      {milliseconds{5'599}, false, false, false, stop_phase::kDrain},
+      {milliseconds{5'600}, false, false, false, stop_phase::kCut},
+      // A long answer that is on its way to a slow reader is not cut before the
+      // process must end.
+      {milliseconds{5'200}, false, true, true, stop_phase::kDrain},
+      {milliseconds{5'599}, false, true, true, stop_phase::kDrain},
+      {milliseconds{5'600}, false, true, true, stop_phase::kCut},
   };
   for (const phase_case& each : table) {
-    BOOST_TEST(
-        (StopPhaseAt(each.elapsed, schedule,
-                     {each.is_idle, each.has_withdrawn}) == each.expected),
-        each.elapsed.count());
+    BOOST_TEST((StopPhaseAt(each.elapsed, schedule,
+                            {each.is_idle, each.has_withdrawn,
+                             each.is_answering}) == each.expected),
+               each.elapsed.count());
   }
 }
 
@@ -59,6 +65,8 @@
       BOOST_TEST((schedule.drain_at <= schedule.close_at));
       BOOST_TEST((schedule.close_at <= schedule.cut_at));
       BOOST_TEST((schedule.cut_at <= schedule.end_by));
+      BOOST_TEST(
+          (schedule.answer_by + schedule.verdict_wait <= schedule.end_by));
       BOOST_TEST((schedule.end_by <= grace));
     }
   }
