LibTraffic: Watch the callers of long bodies

Cause: a request's client was watched only if its body was held whole. One whose body is streamed was not watched while it waited for its go-ahead, in the owner's queue, or at work, neither by the entry nor by the owner.

Both now watch from the start. Bytes of the body that wait unread hide the close from a wait for readability, so the connection is looked at every 150 ms meanwhile, as for callers that pipeline.

ALongBodyWhoseCallerLeftWhileItWaitedIsNotRun failed on the unchanged code (the upload ran).

--- a/Libraries/LibTraffic/caller_line.cc
+++ b/Libraries/LibTraffic/caller_line.cc
@@ -7,9 +7,6 @@
 
 namespace {
 
-// A caller's close behind bytes that may not be read yet is noticed this late.
-// The backend servers are to stop within 500 ms of it, two hops away.
-constexpr std::chrono::milliseconds kClosePollInterval{150};
 constexpr std::size_t kReadAheadBytes = 4096;
 // Answers that wait at this node for others on their connections: a twentieth
 // of the memory of the smallest machines.
--- a/Libraries/LibTraffic/disconnect_watcher.cc
+++ b/Libraries/LibTraffic/disconnect_watcher.cc
@@ -19,6 +19,7 @@
   } else if (is_started_ && !state_.has_disconnected) {
     error_code ignored;
     state_.client->stream.socket().cancel(ignored);
+    state_.poll_timer.reset();
   }
   state_.client = nullptr;
 }
@@ -29,20 +30,38 @@
     watch_->Add(*this);
     return;
   }
-  shared_->client->stream.socket().async_wait(
-      boost::asio::ip::tcp::socket::wait_read,
-      [shared = shared_](error_code failure) {
-        const bool is_over = failure || shared->client == nullptr;
-        // Bytes of a pipelined request also make the socket readable. While
-        // they are unread, waiting for the socket can't detect a later close,
-        // so watching ends here.
-        if (is_over || !shared->client->HasPeerClosed()) {
-          return;
+  WaitForClose(shared_);
+}
+
+void disconnect_watcher::WaitForClose(
+    const std::shared_ptr<shared_state>& shared) {
+  shared->client->stream.socket().async_wait(
+      boost::asio::ip::tcp::socket::wait_read, [shared](error_code failure) {
+        if (!failure && shared->client != nullptr) {
+          HandleReadable(shared);
         }
-        shared->Disconnect();
       });
 }
 
+// The rest of the body also makes the socket readable. While it is unread,
+// waiting for the socket can't detect a later close.
+void disconnect_watcher::HandleReadable(
+    const std::shared_ptr<shared_state>& shared) {
+  if (shared->client->HasPeerClosed()) {
+    shared->Disconnect();
+    return;
+  }
+  if (!shared->poll_timer) {
+    shared->poll_timer.emplace(shared->client->stream.get_executor());
+  }
+  shared->poll_timer->expires_after(kClosePollInterval);
+  shared->poll_timer->async_wait([shared](error_code failure) {
+    if (!failure && shared->client != nullptr) {
+      HandleReadable(shared);
+    }
+  });
+}
+
 void disconnect_watcher::CloseOnDisconnect(http_connection* connection,
                                            withdrawal when_withdrawn) {
   state_.connection_to_close = connection;
--- a/Libraries/LibTraffic/disconnect_watcher.h
+++ b/Libraries/LibTraffic/disconnect_watcher.h
@@ -1,12 +1,18 @@
 #pragma once
 
+#include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "LibTraffic/http_connection.h"
 
 namespace wagtailmount::detail {
 
+/// A client's close behind bytes that may not be read yet is noticed this late.
+/// The backend servers are to stop within 500 ms of it, two hops away.
+inline constexpr std::chrono::milliseconds kClosePollInterval{150};
+
 class disconnect_watcher;
 
 /// What a withdrawn request does to the connection on which its answer is
@@ -34,8 +40,8 @@
 /// connections.
 class disconnect_watcher {
  public:
-  /// Watches the connection by itself; nothing may be read from the client
-  /// while the watcher exists.
+  /// Watches the connection by itself; nothing but the rest of the request's
+  /// body may be read from the client while the watcher exists.
   explicit disconnect_watcher(http_connection& client);
   /// Leaves the watching to `shared`, which must outlive the watcher.
   disconnect_watcher(http_connection& client, client_watch& shared);
@@ -43,8 +49,7 @@
   disconnect_watcher& operator=(const disconnect_watcher&) = delete;
   ~disconnect_watcher();
 
-  /// Starts watching. Must not be called while the request's body is still
-  /// being read.
+  /// Starts watching.
   void Start();
 
   /// Sets the connection to close when the client disconnects, and what happens
@@ -90,11 +95,15 @@
     std::function<void()> on_disconnect;
     bool has_disconnected = false;
     bool is_withdrawn = false;
+    std::optional<boost::asio::steady_timer> poll_timer;
 
     void Disconnect();
     void Close();
   };
 
+  static void WaitForClose(const std::shared_ptr<shared_state>& shared);
+  static void HandleReadable(const std::shared_ptr<shared_state>& shared);
+
   std::shared_ptr<shared_state> shared_;  ///< Null if another watches.
   shared_state own_;
   shared_state& state_;  ///< One of the two.
--- a/Libraries/LibTraffic/entry.cc
+++ b/Libraries/LibTraffic/entry.cc
@@ -85,9 +85,7 @@
   }
 
   task<entry_result> Run() {
-    if (incoming_.request.remaining_body == nullptr) {
-      watch_.Start();
-    }
+    watch_.Start();
     const fleet_retry_limits& limits = state_.settings.retries;
     if (limits.share > 0.0 && incoming_.snapshot.Own()) {
       service_state_.budget.SetLimits(limits,
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -200,9 +200,7 @@
     SetFraming(request, parser_);
     disconnect_watcher watch{client_};
     const served_request_guard served{worker_, watch};
-    if (request.remaining_body == nullptr) {
-      watch.Start();
-    }
+    watch.Start();
     attempt_result result = co_await RunAtBackendServer(
         worker_, owner_request{request, watch, deadline_, priority_, objective_,
                                kind_, known_rate_limit});
