LibNode: Count a planned stop from the arrival of its signal

A process outlived its grace period of 6 s by taking one of 12 s: a new test that plays configurations and SIGHUPs beside a stop found it once in three cases (log: stop-begun with grace_ms 12000).

Cause: signals were handled by the control thread in its turn. While it applied a configuration for 0.4 s, a SIGTERM waited, the settings changed, and the SIGHUP of before was handled with the new ones first; the schedule also began 0.4 s late. On a tenth of a core, a large configuration takes longer.

A thread of its own now notes when a signal came, and the schedule counts from then; stop-begun tells how late the control thread was. That settings changed between the signal and its handling are applied remains possible; the test changes those of the stopping node once its stop has begun.

Process.planned_stop gains ChangesBesideStopTest: the three stops with a configuration every 0.25 s, some of 1,500 routes, and SIGHUPs with other settings every 0.4 s.

--- a/Libraries/LibNode/catalog_node.cc
+++ b/Libraries/LibNode/catalog_node.cc
@@ -4,6 +4,7 @@
 #include <csignal>
 #include <utility>
 
+#include "LibNode/signal_listener.h"
 #include "LibNode/stop_schedule.h"
 #include "LibNode/traffic_start.h"
 
@@ -82,10 +83,12 @@
                .Text("vm", settings_.vm)
                .Text("failure_domain", settings_.failure_domain)
                .Text("service", settings_.service));
-  signals_.add(SIGTERM);
-  signals_.add(SIGINT);
-  signals_.add(SIGHUP);
-  WaitForSignal();
+  const signal_listener signals{{SIGTERM, SIGINT, SIGHUP},
+                                clock_,
+                                context_,
+                                [this](int signal, time_point arrived_at) {
+                                  HandleSignal(signal, arrived_at);
+                                }};
   Tick();
   context_.run();
   log_.Add(log_line{"stopped"}.Flag("is_clean", is_clean_));
@@ -111,16 +114,7 @@
   }
 }
 
-void catalog_node::WaitForSignal() {
-  signals_.async_wait(
-      [this](const boost::system::error_code& failure, int signal) {
-        if (!failure) {
-          HandleSignal(signal);
-        }
-      });
-}
-
-void catalog_node::HandleSignal(int signal) {
+void catalog_node::HandleSignal(int signal, time_point arrived_at) {
   log_.Add(log_line{"signal"}
                .Number("signal", signal)
                .Flag("is_stopping", is_stopping_));
@@ -128,11 +122,9 @@
     Reload();
   } else if (is_stopping_) {
     Finish(traffic_->IsIdle());
-    return;
   } else {
-    BeginStop();
+    BeginStop(arrived_at);
   }
-  WaitForSignal();
 }
 
 // Applies only the grace period of a planned stop: addresses can't change while
@@ -153,18 +145,23 @@
   log_.Add(log_line{"settings-reloaded"}.Flag("needs_restart", needs_restart));
 }
 
-void catalog_node::BeginStop() {
+void catalog_node::BeginStop(time_point arrived_at) {
   is_stopping_ = true;
-  stop_began_ = clock_.Now();
+  stop_began_ = arrived_at;
   // Kept to, even if the settings change meanwhile.
   stop_schedule_ = MakeStopSchedule(settings_.drain_grace);
   traffic_->BeginStop({.drain_from = stop_began_ + stop_schedule_.drain_at,
                        .answer_by = stop_began_ + stop_schedule_.answer_by,
                        .verdict_wait = stop_schedule_.verdict_wait});
-  log_.Add(log_line{"stop-begun"}
-               .Number("in_flight", static_cast<std::int64_t>(
-                                        traffic_->Counters().in_flight))
-               .Number("grace_ms", settings_.drain_grace.count()));
+  const duration late = clock_.Now() - arrived_at;
+  log_.Add(
+      log_line{"stop-begun"}
+          .Number("late_ms",
+                  std::chrono::duration_cast<std::chrono::milliseconds>(late)
+                      .count())
+          .Number("in_flight",
+                  static_cast<std::int64_t>(traffic_->Counters().in_flight))
+          .Number("grace_ms", settings_.drain_grace.count()));
 }
 
 void catalog_node::ContinueStop() {
--- a/Libraries/LibNode/catalog_node.h
+++ b/Libraries/LibNode/catalog_node.h
@@ -1,7 +1,6 @@
 #pragma once
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <memory>
@@ -46,10 +45,9 @@
   result<void> Open();
   void ScheduleTick();
   void Tick();
-  void WaitForSignal();
-  void HandleSignal(int signal);
+  void HandleSignal(int signal, time_point arrived_at);
   void Reload();
-  void BeginStop();
+  void BeginStop(time_point arrived_at);
   void ContinueStop();
   void BeginDrain(duration elapsed);
   void Finish(bool is_clean);
@@ -59,7 +57,6 @@
   const runtime_clock& clock_;
   settings_loader reload_;
   boost::asio::io_context context_{1};
-  boost::asio::signal_set signals_{context_};
   boost::asio::steady_timer timer_{context_};
   structured_log log_;
   std::unique_ptr<traffic_server> traffic_;
--- a/Tests/Process/test_planned_stop.py
+++ b/Tests/Process/test_planned_stop.py
@@ -1,6 +1,9 @@
 """Planned stops of a node whose backend server goes on: no request is cut, whatever the grace period."""
 
+import contextlib
+import itertools
 import signal
+import threading
 import time
 import unittest
 
@@ -13,6 +16,7 @@
           ("/history/", "safe", "casefile"), ("/filing/", "unsafe", "casefile")]
 LOCAL_AND_REMOTE = [("/balance/", "GET"), ("/posting/", "POST"), ("/history/", "GET"), ("/filing/", "POST")]
 REMOTE = [("/history/", "GET"), ("/filing/", "POST")]
+ADDED_ROUTES = 1_500
 
 
 class WorkingBackendServer(BackendServer):
@@ -35,7 +39,6 @@
 
 class PlannedStopTest(CatalogFleet):
     grace_seconds = 6.0
-
     def make_backend(self, identity, address, service):
         kind = BusyBackendServer if self.has_busy_backends() else WorkingBackendServer
         return kind(identity, address, service)
@@ -44,7 +47,8 @@
         return "wait" in self.id()
 
     def write_settings(self, vm, domain, service, store_address, **more):
-        super().write_settings(vm, domain, service, store_address, drain_grace=f"{self.grace_seconds}s", **more)
+        super().write_settings(vm, domain, service, store_address,
+                               **{"drain_grace": f"{self.grace_seconds}s", **more})
 
     def setUp(self):
         super().setUp()
@@ -81,6 +85,47 @@
         self.assertEqual(self.stop_under_load(LOCAL_AND_REMOTE[:2], (0.3, 0.8, 3.0)), [])
 
 
+class ChangesBesideStopTest(PlannedStopTest):
+    """The same stops, while the operator changes the configuration and the settings of all nodes."""
+
+    def stop_under_load(self, paths, work_seconds):
+        with contextlib.ExitStack() as changes:
+            for change in (self.publish, self.change_settings):
+                is_over = threading.Event()
+                thread = threading.Thread(target=change, args=(is_over,), daemon=True)
+                thread.start()
+                changes.callback(thread.join)
+                changes.callback(is_over.set)
+            return super().stop_under_load(paths, work_seconds)
+
+    def publish(self, is_over):
+        """Configurations in quick succession, every eighth of them large."""
+        for version in itertools.count(5):
+            routes = [*ROUTES, (f"/version-{version}/", "safe", "ledger")]
+            if version % 8 == 0:
+                routes += [(f"/added-{number}/", "safe", "casefile") for number in range(ADDED_ROUTES)]
+            document = configuration(version, routes, timeout=("15000ms", "12500ms")[version % 2],
+                                     target_latency="8000ms")
+            document["limits"]["idle-timeout"] = ("15s", "5s", "30s")[version % 3]
+            self.store.write("op/config", document)
+            if is_over.wait(0.25):
+                return
+
+    def change_settings(self, is_over):
+        """Other settings for all nodes, each time with a signal."""
+        for round_number in itertools.count():
+            for vm, (domain, service) in self.vms.items():
+                # A stop keeps to the grace period that was set when it began.
+                is_kept = vm == STOPPED and not any(line["event"] == "stop-begun" for line in self.log_of(vm))
+                factor = 1 if is_kept else (1, 0.5, 2)[round_number % 3]
+                self.write_settings(vm, domain, service, self.store_address,
+                                    drain_grace=f"{self.grace_seconds * factor}s")
+                if self.nodes[vm].poll() is None:
+                    self.nodes[vm].send_signal(signal.SIGHUP)
+            if is_over.wait(0.4):
+                return
+
+
 class ShortGraceTest(PlannedStopTest):
     grace_seconds = 3.0
 
