LibTraffic: Log connections of callers that are closed under an unread request

A connection that ends under bytes that were not read is logged with the cause of the close and the request that the bytes name, and counted (closed_unread_total).

--- a/Libraries/LibNode/metrics_text.cc
+++ b/Libraries/LibNode/metrics_text.cc
@@ -12,7 +12,7 @@
   std::uint64_t traffic_counters::*value;
 };
 
-constexpr std::array<named_counter, 22> kTrafficCounters{{
+constexpr std::array<named_counter, 23> kTrafficCounters{{
     {"requests_total", &traffic_counters::requests},
     {"answered_ran_total", &traffic_counters::answered_ran},
     {"answered_may_have_run_total", &traffic_counters::answered_may_have_run},
@@ -31,6 +31,7 @@
     {"backend_crashes_total", &traffic_counters::backend_crashes},
     {"refused_quarantined_total", &traffic_counters::refused_quarantined},
     {"closed_crowded_total", &traffic_counters::closed_crowded},
+    {"closed_unread_total", &traffic_counters::closed_unread},
     {"pipelined_requests_total", &traffic_counters::pipelined_requests},
     {"pipelined_cancelled_total", &traffic_counters::pipelined_cancelled},
     {"pipelined_waiting_bytes", &traffic_counters::pipelined_waiting_bytes},
--- a/Libraries/LibTraffic/answers.cc
+++ b/Libraries/LibTraffic/answers.cc
@@ -1,6 +1,5 @@
 #include "LibTraffic/answers.h"
 
-#include <array>
 #include <string>
 
 #include "LibTraffic/header_fields.h"
@@ -11,6 +10,7 @@
 
 constexpr unsigned kHttpVersion11 = 11;
 constexpr std::size_t kMaximumLingerBytes = std::size_t{1024} * 1024;
+constexpr std::size_t kLingerReadBytes = 4096;
 
 bool HasNoBodyByStatus(http::status status) {
   return status == http::status::no_content ||
@@ -99,12 +99,16 @@
 task<void> LingeringClose(http_connection& connection, duration timeout) {
   error_code failure;
   connection.EndSending();
-  std::array<char, 4096> dropped{};
   std::size_t count = 0;
   connection.stream.expires_after(timeout);
   while (!failure && count < kMaximumLingerBytes) {
-    count += co_await connection.stream.async_read_some(
-        boost::asio::buffer(dropped), ReportTo(failure));
+    const std::size_t read = co_await connection.stream.async_read_some(
+        connection.buffer.prepare(kLingerReadBytes), ReportTo(failure));
+    count += read;
+    // The beginning is kept, since it may name a request that was not read.
+    if (connection.buffer.size() < kLingerReadBytes) {
+      connection.buffer.commit(read);
+    }
   }
   connection.Close();
 }
--- a/Libraries/LibTraffic/pipelined_session.cc
+++ b/Libraries/LibTraffic/pipelined_session.cc
@@ -4,6 +4,7 @@
 
 #include "LibTraffic/answers.h"
 #include "LibTraffic/caller_request.h"
+#include "LibTraffic/header_fields.h"
 
 namespace wagtailmount::detail {
 
@@ -20,6 +21,59 @@
   }
 }
 
+// Why a caller's connection ends.
+enum class close_cause : std::uint8_t { kIdle, kStop, kAnswered, kFailed };
+
+std::string_view NameOf(close_cause cause) {
+  switch (cause) {
+    case close_cause::kIdle:
+      return "idle";
+    case close_cause::kStop:
+      return "stop";
+    case close_cause::kAnswered:
+      return "answered";
+    case close_cause::kFailed:
+      return "failed";
+  }
+  return "unknown";
+}
+
+// The first X-Request-Id in bytes that are not parsed; empty if there is none.
+std::string_view RequestIdIn(std::string_view unread) {
+  const std::size_t field = unread.find(kRequestIdField);
+  if (field == std::string_view::npos) {
+    return {};
+  }
+  const std::size_t begin = field + kRequestIdField.size() + 2;  // ": "
+  const std::size_t end = unread.find('\r', begin);
+  return end == std::string_view::npos ? std::string_view{}
+                                       : unread.substr(begin, end - begin);
+}
+
+// A request that crosses the close of its connection ends without an answer.
+// Only this shows which close it was.
+void ReportUnread(traffic_worker& worker, http_connection& connection,
+                  close_cause cause) {
+  constexpr std::size_t kReportedBytes = 2048;
+  connection.ReadAvailable(kReportedBytes);
+  const std::string_view unread{
+      static_cast<const char*>(connection.buffer.data().data()),
+      connection.buffer.size()};
+  const std::string_view id = RequestIdIn(unread);
+  // Behind an answer, the rest of a refused body may follow.
+  if (unread.empty() || (cause == close_cause::kAnswered && id.empty())) {
+    return;
+  }
+  ++worker.state.counters.closed_unread;
+  if (worker.state.log != nullptr) {
+    log_line line{"connection-closed-unread"};
+    line.Text("cause", NameOf(cause))
+        .Number("bytes", static_cast<std::int64_t>(unread.size()))
+        .Text("id", id);
+    worker.state.log->Add(std::move(line));
+  }
+}
+
 }  // namespace
 
 void session_end::operator()(const std::exception_ptr& failure) const {
@@ -54,6 +108,7 @@
     return true;
   });
   next_step next = next_step::kKeepAlive;
+  close_cause cause = close_cause::kIdle;
   while (next == next_step::kKeepAlive) {
     // NOTE: g++ 12 evaluates a co_await on the right of && in a condition even
     // if the left side is false, so it is a statement of its own.
@@ -61,6 +116,8 @@
       const bool has_request = co_await worker.WaitForClient(
           line->connection, worker.state.idle_timeout.load());
       if (!has_request) {
+        cause =
+            worker.state.is_closing ? close_cause::kStop : close_cause::kIdle;
         break;
       }
     }
@@ -76,12 +133,15 @@
       co_await line->WaitUntilEmpty();
     }
     next = line->Next();
+    cause = next == next_step::kCloseNow ? close_cause::kFailed
+                                         : close_cause::kAnswered;
     // Counted as in flight, so that the last answer reaches the caller before
     // the process ends.
     if (next == next_step::kLingeringClose) {
       co_await LingeringClose(line->connection);
     }
   }
+  ReportUnread(worker, line->connection, cause);
   line->connection.Close();
 }
 
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -68,6 +68,8 @@
   std::uint64_t refused_quarantined = 0;
   /// Kept connections of callers ended early, to save descriptors.
   std::uint64_t closed_crowded = 0;
+  /// Connections of callers closed under bytes that were not read.
+  std::uint64_t closed_unread = 0;
   /// Read while others on their connection were not answered, and served
   /// beside them.
   std::uint64_t pipelined_requests = 0;
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -26,6 +26,7 @@
   counts.backend_crashes = backend_crashes;
   counts.refused_quarantined = refused_quarantined;
   counts.closed_crowded = closed_crowded;
+  counts.closed_unread = closed_unread;
   counts.pipelined_requests = pipelined_requests;
   counts.pipelined_cancelled = pipelined_cancelled;
   counts.pipelined_waiting_bytes = pipelined_waiting_bytes;
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -44,6 +44,7 @@
   std::atomic<std::uint64_t> backend_crashes{0};
   std::atomic<std::uint64_t> refused_quarantined{0};
   std::atomic<std::uint64_t> closed_crowded{0};
+  std::atomic<std::uint64_t> closed_unread{0};
   std::atomic<std::uint64_t> pipelined_requests{0};
   std::atomic<std::uint64_t> pipelined_cancelled{0};
   std::atomic<std::uint64_t> pipelined_waiting_bytes{0};
