LibTraffic: Read what has arrived before the idle timeout closes a connection

Cause: the wait for a request was ended by the expiry of the stream, which closes it. A thread that is busy between its look at the timers and the close had not read what came meanwhile. The end of the wait now leaves the connection open and reads what has arrived; the same holds for the close of idle connections at a stop.

--- a/Libraries/LibTraffic/request_reading.cc
+++ b/Libraries/LibTraffic/request_reading.cc
@@ -45,10 +45,18 @@
     co_return true;
   }
   error_code failure;
-  connection.stream.expires_after(idle_timeout);
-  const std::size_t count = co_await connection.stream.async_read_some(
-      connection.buffer.prepare(kFirstReadBytes), ReportTo(failure));
-  connection.buffer.commit(count);
+  {
+    const reading_limit limit{connection,
+                              time_point::clock::now() + idle_timeout};
+    const std::size_t count = co_await connection.stream.async_read_some(
+        connection.buffer.prepare(kFirstReadBytes), ReportTo(failure));
+    connection.buffer.commit(count);
+  }
+  if (failure == boost::asio::error::operation_aborted) {
+    connection.is_reading_stopped = false;
+    // A busy thread comes late to end the wait.
+    co_return connection.ReadAvailable(kFirstReadBytes);
+  }
   co_return !failure;
 }
 
--- a/Libraries/LibTraffic/request_reading.h
+++ b/Libraries/LibTraffic/request_reading.h
@@ -10,7 +10,8 @@
 void ConfigureParser(http_request_parser& parser, const request_limits& limits);
 
 /// Waits for the first byte of the next request; false when the connection
-/// closes first or no byte arrives within `idle_timeout`.
+/// closes first, or no byte has arrived when the wait ends: after
+/// `idle_timeout`, or when it is cancelled.
 task<bool> WaitForRequest(http_connection& connection, duration idle_timeout);
 
 /// Why reading a request failed, and whether an answer can be sent.
--- a/Tests/LibTraffic/test_cold_backend_server.cc
+++ b/Tests/LibTraffic/test_cold_backend_server.cc
@@ -126,6 +126,26 @@
   BOOST_TEST(IsWarm());
 }
 
+// Guards against a connection that was opened to see whether it has ended, and
+// then counts as older than the restart.
+BOOST_AUTO_TEST_CASE(ARestartBehindAnOpenListenerIsNoticedByItsConnections) {
+  State(1, milliseconds{0});
+  many_callers callers{Entry().caller_address};
+  BOOST_REQUIRE(IsWarm());
+  test_caller running{Entry().caller_address};
+  running.Send(
+      "GET / HTTP/1.1\r\nHost: a\r\nX-Request-Id: running\r\n"
+      "X-Fake: wait\r\n\r\n");
+  BOOST_REQUIRE(Eventually(
+      [&] { return Owner(1).backend_server->RunCount("running") == 1; }));
+  const auto restarted = steady_clock::now();
+  Owner(1).backend_server->CloseConnections();
+  std::this_thread::sleep_for(kCalm);
+  BOOST_TEST(Owner(1).backend_server->MaximumReceived(restarted, kSecond) <=
+             kAllowed);
+  BOOST_TEST(Owner(1).backend_server->MaximumReceived(restarted, kCalm) > 0);
+}
+
 BOOST_AUTO_TEST_CASE(ARestartedOwnerKeepsToTheBoundOverBothProcesses) {
   State(1, 2 * kPeriod);
   many_callers callers{Entry().caller_address};
