LibTraffic: Apply a raised idle timeout to connections that are idle already

A wait kept the timeout of the time when it began, while callers rely on the one in force for up to four fifths of it.

When a wait ends, it now goes on if the timeout is longer by then.

ARaisedIdleTimeoutHoldsForConnectionsThatAreIdle fails on the unchanged code.

--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -316,8 +316,8 @@
   http_connection client{std::move(socket)};
   bool is_kept_alive = true;
   while (is_kept_alive) {
-    const bool has_request =
-        co_await worker.WaitForClient(client, kIdleHopTimeout);
+    const bool has_request = co_await worker.WaitForClient(
+        client, [](const traffic_state&) { return duration{kIdleHopTimeout}; });
     if (!has_request && worker.state.is_closing) {
       co_await CloseWithNotice(worker, client);
     }
--- a/Libraries/LibTraffic/pipelined_session.cc
+++ b/Libraries/LibTraffic/pipelined_session.cc
@@ -114,7 +114,9 @@
     // if the left side is false, so it is a statement of its own.
     if (held == nullptr) {
       const bool has_request = co_await worker.WaitForClient(
-          line->connection, worker.state.idle_timeout.load());
+          line->connection, [](const traffic_state& state) {
+            return duration{state.idle_timeout.load()};
+          });
       if (!has_request) {
         cause =
             worker.state.is_closing ? close_cause::kStop : close_cause::kIdle;
--- a/Libraries/LibTraffic/request_reading.cc
+++ b/Libraries/LibTraffic/request_reading.cc
@@ -40,24 +40,24 @@
   parser.body_limit(limits.body_bytes);
 }
 
-task<bool> WaitForRequest(http_connection& connection, duration idle_timeout) {
+task<request_wait> WaitForRequest(http_connection& connection, time_point end) {
   if (connection.buffer.size() > 0) {
-    co_return true;
+    co_return request_wait::kArrived;
   }
   error_code failure;
   {
-    const reading_limit limit{connection,
-                              time_point::clock::now() + idle_timeout};
+    const reading_limit limit{connection, end};
     const std::size_t count = co_await connection.stream.async_read_some(
         connection.buffer.prepare(kFirstReadBytes), ReportTo(failure));
     connection.buffer.commit(count);
   }
-  if (failure == boost::asio::error::operation_aborted) {
-    connection.is_reading_stopped = false;
-    // A busy thread comes late to end the wait.
-    co_return connection.ReadAvailable(kFirstReadBytes);
+  if (failure != boost::asio::error::operation_aborted) {
+    co_return failure ? request_wait::kClosed : request_wait::kArrived;
   }
-  co_return !failure;
+  connection.is_reading_stopped = false;
+  // A busy thread comes late to end the wait.
+  co_return connection.ReadAvailable(kFirstReadBytes) ? request_wait::kArrived
+                                                      : request_wait::kEnded;
 }
 
 task<std::optional<request_read_fault>> ReadRequestHeader(
--- a/Libraries/LibTraffic/request_reading.h
+++ b/Libraries/LibTraffic/request_reading.h
@@ -9,10 +9,15 @@
 /// Sets the size limits of the parser.
 void ConfigureParser(http_request_parser& parser, const request_limits& limits);
 
-/// Waits for the first byte of the next request; false when the connection
-/// closes first, or no byte has arrived when the wait ends: after
-/// `idle_timeout`, or when it is cancelled.
-task<bool> WaitForRequest(http_connection& connection, duration idle_timeout);
+/// How the wait for a request ended.
+enum class request_wait : std::uint8_t {
+  kArrived,  ///< Its first bytes are in the connection's buffer.
+  kClosed,   ///< The peer closed the connection, or it failed.
+  kEnded,    ///< Nothing had arrived by the end, or when it was cancelled.
+};
+
+/// Waits for the first byte of the next request until `end`.
+task<request_wait> WaitForRequest(http_connection& connection, time_point end);
 
 /// Why reading a request failed, and whether an answer can be sent.
 struct request_read_fault {
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -58,14 +58,17 @@
 }
 
 task<bool> traffic_worker::WaitForClient(http_connection& client,
-                                         duration idle_timeout) {
-  if (state.is_closing) {
-    co_return false;
+                                         idle_timeout_function idle_timeout) {
+  const time_point idle_since = state.clock.Now();
+  request_wait ended = request_wait::kEnded;
+  // The timeout may be raised meanwhile, and the client rely on that.
+  while (!state.is_closing && ended == request_wait::kEnded &&
+         state.clock.Now() < idle_since + idle_timeout(state)) {
+    idle_clients.insert(&client);
+    ended = co_await WaitForRequest(client, idle_since + idle_timeout(state));
+    idle_clients.erase(&client);
   }
-  idle_clients.insert(&client);
-  const bool has_request = co_await WaitForRequest(client, idle_timeout);
-  idle_clients.erase(&client);
-  co_return has_request;
+  co_return ended == request_wait::kArrived;
 }
 
 void traffic_worker::KeepBackendConnection(
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -157,8 +157,12 @@
   /// stay; they are small.
   service_state& ServiceStateOf(const std::string& service_name);
 
+  /// How long a client's connection may be idle now.
+  using idle_timeout_function = duration (*)(const traffic_state& state);
+
   /// Waits for the next request of a client; false when there will be none.
-  task<bool> WaitForClient(http_connection& client, duration idle_timeout);
+  task<bool> WaitForClient(http_connection& client,
+                           idle_timeout_function idle_timeout);
 
   /// Keeps a connection to the backend server for reuse if the limit on idle
   /// connections allows.
--- a/Tests/LibTraffic/test_request_path.cc
+++ b/Tests/LibTraffic/test_request_path.cc
@@ -37,6 +37,26 @@
   BOOST_TEST(fixture.Owner(1).server->Counters().owner_admitted == 1U);
 }
 
+// Guards against a connection that is closed by the timeout of the time when it
+// became idle, while its caller relies on a longer one.
+BOOST_AUTO_TEST_CASE(ARaisedIdleTimeoutHoldsForConnectionsThatAreIdle) {
+  using std::chrono::milliseconds;
+  const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+  fixture_options options;
+  options.idle_timeout = milliseconds{400};
+  traffic_fixture fixture{1, options};
+  fixture.Publish();
+  test_caller caller{fixture.Entry().caller_address};
+  caller.Send(request);
+  BOOST_TEST(caller.Receive().status == 200);
+  fixture.SetIdleTimeout(milliseconds{1'200});
+  fixture.Publish();
+  std::this_thread::sleep_for(milliseconds{800});
+  caller.Send(request);
+  BOOST_TEST(caller.Receive().status == 200);
+  BOOST_TEST(caller.IsClosed());
+}
+
 // Callers that come back at once, each time on a new connection, leave the one
 // before open. Kept connections must not take the descriptors that new ones
 // need.
--- a/Tests/LibTraffic/test_request_reading.cc
+++ b/Tests/LibTraffic/test_request_reading.cc
@@ -12,6 +12,7 @@
 using boost::asio::ip::tcp;
 using std::chrono::milliseconds;
 using wagtailmount::detail::http_connection;
+using wagtailmount::detail::request_wait;
 using wagtailmount::detail::task;
 using wagtailmount::detail::WaitForRequest;
 
@@ -30,7 +31,8 @@
     boost::asio::co_spawn(
         context,
         [this]() -> task<void> {
-          has_request = co_await WaitForRequest(connection, kIdleTimeout);
+          ended = co_await WaitForRequest(
+              connection, std::chrono::steady_clock::now() + kIdleTimeout);
         },
         boost::asio::detached);
     context.poll();
@@ -39,7 +41,7 @@
   boost::asio::io_context context{1};
   tcp::socket client{context};
   http_connection connection{context.get_executor()};
-  bool has_request = false;
+  request_wait ended = request_wait::kClosed;
 };
 
 }  // namespace
@@ -58,14 +60,14 @@
     });
   });
   waiting.context.run();
-  BOOST_TEST(waiting.has_request);
+  BOOST_TEST((waiting.ended == request_wait::kArrived));
   BOOST_TEST(waiting.connection.buffer.size() == kRequest.size());
 }
 
 BOOST_AUTO_TEST_CASE(AConnectionWithoutARequestEndsItsWait) {
   waiting_connection waiting;
   waiting.context.run();
-  BOOST_TEST(!waiting.has_request);
+  BOOST_TEST((waiting.ended == request_wait::kEnded));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibTraffic/traffic_fixture.h
+++ b/Tests/LibTraffic/traffic_fixture.h
@@ -54,6 +54,7 @@
   std::chrono::milliseconds deadline{2'000};
   std::chrono::milliseconds latency_objective{0};  ///< 0: there is none.
   std::uint32_t maximum_descriptors = 0;  ///< Of each node; 0 if unknown.
+  std::chrono::milliseconds idle_timeout{15'000};  ///< Of callers.
   double cold_overage = 1.0;
   std::uint32_t cold_slack = 0;
   double link_megabits_per_second = 0.0;  ///< Of each node; 0 if unknown.
@@ -87,6 +88,11 @@
   /// VM `number`, from 1: its node owns the upstream of that VM.
   test_vm& Owner(int number) { return vms_[number]; }
 
+  /// Takes effect with the next Publish().
+  void SetIdleTimeout(std::chrono::milliseconds timeout) {
+    options_.idle_timeout = timeout;
+  }
+
   /// Ends the node of an owner and starts it again at the same addresses. It
   /// knows nothing until the next Publish().
   void RestartOwner(int number);
