LibNode: Take a listing for as old as its oldest page

Cause: the listing of a start may be stale, each page at another revision, and the revision of the first page was taken for that of all. When a later page was older, the watch began behind a removal that the page did not show, and nothing corrected the entry.

The listing now counts as complete up to the lowest revision of its pages, so the watch tells what the older ones lack. Ruled out: reading again until all pages agree, which a store that changes often may never allow.

AListingIsAsOldAsItsOldestPage failed on the unchanged code (24 for 20).

--- a/Libraries/LibCatalog/catalog_source.h
+++ b/Libraries/LibCatalog/catalog_source.h
@@ -13,7 +13,7 @@
 namespace wagtailmount {
 
 /// One page of a listing. The pages are not a consistent snapshot: the listing
-/// as a whole is complete up to the revision of its first page.
+/// as a whole is complete up to the lowest revision of its pages.
 struct catalog_page {
   std::uint64_t revision = 0;
   std::vector<catalog_item> items;
--- a/Libraries/LibNode/catalog_control.cc
+++ b/Libraries/LibNode/catalog_control.cc
@@ -167,11 +167,13 @@
     RecordCallEnd(page.error(), false);
     return;
   }
-  // The pages of a listing are read at different revisions, so only changes up
-  // to the first page's revision are certainly in it.
+  // The pages of a listing are read at different revisions, and one that may be
+  // stale at any: only changes up to the oldest of them are certainly in it.
   if (listing_position_.revision == 0) {
     listing_position_ = {page->era, page->revision};
   }
+  listing_position_.revision =
+      std::min(listing_position_.revision, page->revision);
   if (page->era != listing_position_.era ||
       page->era < catalog_.Position().era) {
     listed_items_.clear();
--- a/Tests/LibNode/test_catalog_control.cc
+++ b/Tests/LibNode/test_catalog_control.cc
@@ -242,6 +242,31 @@
   BOOST_TEST(Available() == "i-1 ");
 }
 
+// Guards against a removal that is never seen, as a later page of a stale
+// listing is older than the first and than the removal.
+BOOST_FIXTURE_TEST_CASE(AListingIsAsOldAsItsOldestPage, control_parts) {
+  control.SetLinkHub(hub);
+  Step(0ms);
+  AnswerListing({24,
+                 {Entry("op", 10, "7"), Entry("s/i-1", 11, "10.0.0.1 ready")},
+                 true,
+                 4});
+  AnswerListing({20, {Entry("s/i-2", 12, "10.0.0.2 ready")}, false, 4});
+  BOOST_TEST(control.CompleteTo() == 20U);
+  for (int tick = 0; tick < 20 && source.watch == nullptr; ++tick) {
+    Step(100ms);
+  }
+  BOOST_REQUIRE(source.watch != nullptr);
+  BOOST_TEST(source.watched_after == 20U);
+  catalog_item removal = Entry("s/i-2", 22, "");
+  removal.is_removed = true;
+  removal.content = nullptr;
+  std::exchange(source.watch, nullptr)(catalog_changes{24, {removal}, 4});
+  Step(100ms);
+  BOOST_REQUIRE(published != nullptr);
+  BOOST_TEST(Available() == "i-1 ");
+}
+
 // In an outage the peer's state is old, but nobody has a newer one.
 BOOST_AUTO_TEST_CASE(APeerInTheSameStateIsEnoughInAnOutage) {
   control.OnPeerMessage("10.0.0.2", catalog_state_message{20, 9s, {}, 4});
