LibCatalog: Use a start whose birth is earlier once it writes again

Cause: births order the starts under an id, and the memory of the newest one was renewed with each look at the entry, whoever wrote it. A late write of an earlier start, which this guards against, comes between those of the later start. One that writes a second time with nothing of the other in between is the start that lives; its birth now becomes the valid one. Ruled out: the order of revisions alone, by which a late write would win.

AStartWithAnEarlierBirthIsUsedOnceItWritesAgain failed on the unchanged code; LateWritesBetweenThoseOfALaterBirthBringNothingBack holds on both.

--- a/Libraries/LibCatalog/upstream_directory.cc
+++ b/Libraries/LibCatalog/upstream_directory.cc
@@ -51,8 +51,24 @@
     if (each.record.is_leaving) {
       leaving_since_.emplace(KeyOf(each), now);
     }
-    newest_birth& newest = newest_births_[each.record.id];
-    newest = {std::max(newest.born, each.record.born), now};
+    RecordBirth(now, each);
+  }
+}
+
+void upstream_directory::RecordBirth(time_point now,
+                                     const registered_upstream& registered) {
+  const std::int64_t born = registered.record.born;
+  newest_birth& newest = newest_births_[registered.record.id];
+  newest.seen_at = now;
+  if (born >= newest.born) {
+    newest = {born, now};
+    return;
+  }
+  if (newest.earlier_born != born) {
+    newest.earlier_born = born;
+    newest.earlier_revision = registered.revision;
+  } else if (registered.revision > newest.earlier_revision) {
+    newest = {born, now};
   }
 }
 
--- a/Libraries/LibCatalog/upstream_directory.h
+++ b/Libraries/LibCatalog/upstream_directory.h
@@ -103,10 +103,15 @@
     return {registered.record.id, registered.record.born};
   }
 
-  /// The latest birth seen under one id, and when.
+  /// The start that is valid under one id, by its birth, and when it was last
+  /// seen.
   struct newest_birth {
     std::int64_t born = 0;
     time_point seen_at{};
+    /// An earlier birth that was written since, and the revision of that; 0 if
+    /// there is none.
+    std::int64_t earlier_born = 0;
+    std::uint64_t earlier_revision = 0;
   };
 
   const entry* OwnEntry() const;
@@ -114,6 +119,7 @@
   void UpdateOwnLeaving(time_point now);
   void UpdateOwnColdness(time_point now);
   bool IsSuperseded(const entry& candidate) const;
+  void RecordBirth(time_point now, const registered_upstream& registered);
   bool IsOfEarlierBirth(const registered_upstream& registered) const;
   bool IsLeaving(const registered_upstream& registered) const;
   void RememberLeaving(time_point now,
@@ -122,8 +128,9 @@
   settings settings_;
   std::map<std::string, entry, std::less<>> entries_;  ///< By record id.
   evacuation_table evacuations_;
-  /// By record id. A start under an id makes the earlier ones invalid, however
-  /// late their last writes come.
+  /// By record id. A start under an id makes the earlier ones invalid, although
+  /// the last write of one may come late. One that goes on writing is not an
+  /// earlier one: the clock by which it states its birth was wrong.
   std::map<std::string, newest_birth, std::less<>> newest_births_;
   /// When each start of a backend server was first seen leaving: a delayed
   /// write of an earlier state must not make it available again.
--- a/Tests/LibCatalog/test_upstream_directory.cc
+++ b/Tests/LibCatalog/test_upstream_directory.cc
@@ -24,6 +24,12 @@
   return from;
 }
 
+registered_upstream WrittenAt(registered_upstream from,
+                              std::uint64_t revision) {
+  from.revision = revision;
+  return from;
+}
+
 registered_upstream Leaving(registered_upstream from) {
   from.record.is_leaving = true;
   return from;
@@ -282,6 +288,38 @@
   BOOST_TEST(Ledger().empty());
 }
 
+// Guards against a start that is ignored for its whole life, and never taken
+// for leaving, as the clock of its VM was set back since the start before it.
+BOOST_AUTO_TEST_CASE(AStartWithAnEarlierBirthIsUsedOnceItWritesAgain) {
+  const auto earlier = Born(Registered("i-1", "10.0.0.1"), 1'000);
+  Update({WrittenAt(Born(Registered("i-1", "10.0.0.1"), 2'000), 5)});
+  const std::uint64_t replaced = Ledger()[0].incarnation;
+  Update({WrittenAt(earlier, 7)});
+  Update({WrittenAt(earlier, 7)});
+  BOOST_TEST(Ledger()[0].incarnation == replaced);
+  Update({WrittenAt(earlier, 9)});
+  BOOST_REQUIRE(Ledger().size() == 1U);
+  BOOST_TEST(Ledger()[0].incarnation != replaced);
+  Update({WrittenAt(Leaving(earlier), 11)});
+  BOOST_TEST(Ledger()[0].is_leaving);
+}
+
+// A start whose last writes come late, between those of the next one, is not
+// taken for a later one.
+BOOST_AUTO_TEST_CASE(LateWritesBetweenThoseOfALaterBirthBringNothingBack) {
+  const auto earlier = Born(Registered("i-1", "10.0.0.1"), 1'000);
+  const auto later = Born(Registered("i-1", "10.0.0.1"), 2'000);
+  Update({WrittenAt(later, 5)});
+  const std::uint64_t valid = Ledger()[0].incarnation;
+  for (std::uint64_t revision = 6; revision < 12; revision += 2) {
+    Update({WrittenAt(Leaving(earlier), revision)});
+    BOOST_TEST(Ledger()[0].incarnation == valid);
+    Update({WrittenAt(later, revision + 1)});
+    BOOST_TEST(Ledger()[0].incarnation == valid);
+    BOOST_TEST(!Ledger()[0].is_leaving);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnEvacuationMarksTheUpstreamsOfItsFailureDomainOnly) {
   auto elsewhere = Registered("i-2", "10.0.0.2");
   elsewhere.record.failure_domain = "yard";
