LibTraffic: Note when the connection of a crash check was opened

Cause: the connection that is opened to see whether a backend server still listens is kept for requests, and its time of opening stayed the beginning of time. The first answer on it told that the backend server had run since then, which ended the doubt that the lost connections had raised.

--- a/Libraries/LibTraffic/backend_crash.cc
+++ b/Libraries/LibTraffic/backend_crash.cc
@@ -13,6 +13,7 @@
   std::unique_ptr<http_connection> connection = co_await Connect(
       worker.state.settings.backend_server, kConnectTimeout, failure);
   if (connection != nullptr) {
+    connection->opened_at = worker.state.clock.Now();
     worker.KeepBackendConnection(std::move(connection));
   }
   co_return failure == boost::asio::error::connection_refused;
--- a/Tests/LibTraffic/fake_backend_server.cc
+++ b/Tests/LibTraffic/fake_backend_server.cc
@@ -193,9 +193,16 @@
   is_stopping_ = true;
   has_crashed_ = true;
   ::shutdown(listener_, SHUT_RDWR);
+  {
+    const std::lock_guard lock{mutex_};
+    is_released_ = true;
+    released_.notify_all();
+  }
+  CloseConnections();
+}
+
+void fake_backend_server::CloseConnections() {
   const std::lock_guard lock{mutex_};
-  is_released_ = true;
-  released_.notify_all();
   for (const int socket : sockets_) {
     ::shutdown(socket, SHUT_RDWR);
   }
--- a/Tests/LibTraffic/fake_backend_server.h
+++ b/Tests/LibTraffic/fake_backend_server.h
@@ -68,6 +68,9 @@
   std::string LastRequestHead() const;
   void ReleaseWaitingRequests();
   bool HasCrashed() const { return has_crashed_; }
+  /// Closes all connections, as a restart does whose listening socket belongs
+  /// to a supervisor.
+  void CloseConnections();
   /// How many endless answers are being sent.
   int EndlessAnswers() const { return endless_answers_; }
   /// Adds header fields, each a line that ends with CRLF, to the answers with a
