Soak: Draw the grace period, and change settings and configuration beside stops

Now the seed draws 3, 4, 6 or 10 s, SIGHUPs with another grace period, and series of configurations around each stop, drawn apart so that the seeds of earlier findings draw what they drew then. A stop keeps to the grace period that was set when it began; the judge takes it from the stop. LOST is also judged beside the stop of another node, which excused every cut until now.

--- a/Tests/Soak/soak.py
+++ b/Tests/Soak/soak.py
@@ -15,9 +15,9 @@
 
 def soak(seed, seconds, size, callers, keep):
     schedule = Schedule(seed, size, seconds)
-    print(f"seed {seed}, {seconds:.0f} s, {size} nodes, {len(schedule.steps)} steps", *schedule.lines(), sep="\n",
-          flush=True)
-    fleet = SoakFleet(seed, size)
+    print(f"seed {seed}, {seconds:.0f} s, {size} nodes, {schedule.grace_seconds} s of grace, {len(schedule.steps)} steps",
+          *schedule.lines(), sep="\n", flush=True)
+    fleet = SoakFleet(seed, size, schedule.grace_seconds)
     found = ["the run did not end"]
     try:
         began = time.monotonic()
@@ -37,6 +37,7 @@
         print(f"{len(load.attempts)} requests, {served} served, {refused} refused as not run, "
               f"{sum(each.status == 0 for each in load.attempts)} without an answer {dict(failures)}; {len(operator.limits)} limits, "
               f"{len(operator.leavings)} leavings, {len(operator.publications)} versions, "
+              f"{operator.settings_changes} changes of settings, "
               f"{len(operator.attempts)} lethal requests")
     finally:
         fleet.close(keep or bool(found))
--- a/Tests/Soak/soak_fleet.py
+++ b/Tests/Soak/soak_fleet.py
@@ -21,7 +21,6 @@
 SERVICES = ("ledger", "casefile")
 DOMAINS = ("hall-a", "hall-b", "hall-c")
 ROUTES = [("/balance/", "safe", "ledger"), ("/posting/", "unsafe", "ledger"), ("/history/", "safe", "casefile")]
-GRACE_SECONDS = 6
 # A backend server crashes when it begins to run a request with such a body; what follows tells one from another.
 LETHAL = b"lethal-"
 
@@ -163,7 +162,7 @@
 class SoakNode(Process):
     """A wagtailmountd at a loopback address of its own, and the backend server beside it."""
 
-    def __init__(self, number, ports, folder, store):
+    def __init__(self, number, ports, folder, store, grace_seconds):
         self.vm = f"127.0.0.{number + 2}"
         self.number = number
         self.domain = DOMAINS[number % len(DOMAINS)]
@@ -172,17 +171,26 @@
         store_address = Ports().take()
         self.front = StoreFront(store_address, store)
         self.backend = None
-        settings = {
+        self._settings = {
             "vm": self.vm, "region": "pk", "failure_domain": self.domain, "service": self.service,
             "listen": {name: f"{self.vm}:{ports[name]}"
                        for name in ("caller", "hop", "peer", "admin", "readiness")},
             "backend_server": {"address": f"{self.vm}:{ports['backend']}"},
             "platform": {"interface": "catalog", "addresses": [store_address], "calls_per_second": 2000,
                          "expected_vms": 1},
-            "drain_grace": f"{GRACE_SECONDS}s", "retries": {"share": 0.2, "slack": 64}}
-        path = folder / f"{self.vm}.json"
-        path.write_text(json.dumps(settings))
-        super().__init__(self.vm, [PROGRAMS / "wagtailmountd" / "wagtailmountd", "--settings", path], folder)
+            "retries": {"share": 0.2, "slack": 64}}
+        self._path = folder / f"{self.vm}.json"
+        self.settings_lock = threading.Lock()
+        self.set_grace(grace_seconds)
+        self.handles_signals = True  # Not while it starts.
+        super().__init__(self.vm, [PROGRAMS / "wagtailmountd" / "wagtailmountd", "--settings", self._path], folder)
+
+    def set_grace(self, seconds):
+        """Writes other settings, which are in force from the next start or SIGHUP on."""
+        self.grace_seconds = seconds
+        written = self._path.with_suffix(".new")
+        written.write_text(json.dumps({**self._settings, "drain_grace": f"{seconds}s"}))
+        written.replace(self._path)
 
     def is_ready(self):
         connection = http.client.HTTPConnection(self.vm, int(self.ports["readiness"]), timeout=1)
@@ -198,7 +206,7 @@
 class SoakFleet:
     """All of it, with the record of what was done to it."""
 
-    def __init__(self, seed, size):
+    def __init__(self, seed, size, grace_seconds=6.0):
         self.seed = seed
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="wagtailmount-soak-"))
         ports = Ports()
@@ -214,7 +222,7 @@
         # used again meanwhile.
         self._forking = threading.Lock()
         self.publish()
-        self.nodes = [SoakNode(number, numbers, self.folder, self.store) for number in range(size)]
+        self.nodes = [SoakNode(number, numbers, self.folder, self.store, grace_seconds) for number in range(size)]
         # Processes end with the thread that started them.
         self._starter = concurrent.futures.ThreadPoolExecutor(1)
         for node in self.nodes:
--- a/Tests/Soak/soak_judge.py
+++ b/Tests/Soak/soak_judge.py
@@ -12,7 +12,6 @@
 TIMEOUT_SECONDS = 1.5
 ANSWER_SLACK_SECONDS = 0.5
 LOSS_SLACK_SECONDS = 0.2
-GRACE_SECONDS = 6.0
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 PROCESS_AND_STORE = ("kill", "terminate", "freeze", "store-front", "store")
 
@@ -163,9 +162,8 @@
     for each in record.attempts:
         if each.status or each.failure == "ConnectionRefusedError":
             continue
-        planned = [other for other in record.disturbances if other.node == each.node and
-                   other.kind == "terminate" and other.overlaps(each.sent, each.ended)]
-        others = [other for other in record.disturbances if other not in planned and other.kind != "store-front"
+        # Stops are planned, of this node or of the one beside the backend server.
+        others = [other for other in record.disturbances if other.kind not in ("terminate", "store-front")
                   and other.overlaps(each.sent - CONTACT_SECONDS, each.ended)]
         runs = record.runs.get(each.request_id)
         # Behind an answer that closes the connection, a request counts as not read.
@@ -188,7 +186,7 @@
 def outlived(record):
     for each in record.disturbances:
         if each.kind == "terminate, outlived its grace period":
-            yield f"GRACE: node {each.node} was still there {GRACE_SECONDS} s after SIGTERM"
+            yield f"GRACE: node {each.node} was still there {each.grace_seconds} s after SIGTERM"
 
 
 def crashed(record):
--- a/Tests/Soak/soak_schedule.py
+++ b/Tests/Soak/soak_schedule.py
@@ -2,11 +2,12 @@
 
 import dataclasses
 import random
+import signal
 import threading
 import time
 
 from soak_callers import send
-from soak_fleet import GRACE_SECONDS, LETHAL, SERVICES, terminate
+from soak_fleet import LETHAL, SERVICES, terminate
 
 DRAIN_SECONDS = 2.0
 WARM_UP_SECONDS = 4.0
@@ -20,6 +21,7 @@
     node: int
     began: float
     ended: float = float("inf")
+    grace_seconds: float = 0.0  # Of a planned stop.
 
     def overlaps(self, begin, end):
         return self.began <= end and self.ended >= begin
@@ -34,6 +36,7 @@
              ("backend-leave", 3, 0), ("backend-limit", 4, 12), ("backend-fault", 6, 4), ("entry-lapses", 1, 2))
     BACKEND_FAULTS = ("shed", "error", "reset", "cut", "garbage", "endless", "copy", "slow")
     FRONT_FAULTS = ("busy", "silent", "reset", "slow")
+    GRACE_SECONDS = (3.0, 4.0, 6.0, 10.0)
 
     def __init__(self, seed, size, seconds):
         chance = random.Random(f"schedule {seed}")
@@ -51,6 +54,16 @@
             at = chance.uniform(WARM_UP_SECONDS, max(WARM_UP_SECONDS, seconds - CALM_AT_END_SECONDS))
             self.steps.append({"at": round(at, 2), "kind": "lethal-request", "node": 0,
                                "for": round(chance.uniform(3, 9), 2), "draw": round(chance.random(), 3)})
+        # Drawn apart as well: changes of the operator's, beside the stops and at other times.
+        chance = random.Random(f"changes {seed}")
+        self.grace_seconds = chance.choice(self.GRACE_SECONDS)
+        for stop in [step for step in self.steps if step["kind"] == "terminate"]:
+            for kind in ("publish-series", "settings", "settings"):
+                if chance.random() < 0.6:
+                    node = stop["node"] if chance.random() < 0.5 else chance.randrange(size)
+                    at = max(WARM_UP_SECONDS, stop["at"] + chance.uniform(-0.5, 4))
+                    self.steps.append({"at": round(at, 2), "kind": kind, "node": node, "for": 0,
+                                       "draw": round(chance.random(), 3)})
         self.steps.sort(key=lambda step: step["at"])
 
     def lines(self):
@@ -73,6 +86,7 @@
         self.limits = []  # [identity, requests a second, from, until]
         self.failures = []  # Of the operator itself.
         self.attempts = []  # Requests that crash backend servers.
+        self.settings_changes = 0
         self._come_backs = []
         fleet.on_backend_crash = self._crashed
         self.over_at = 0.0  # When the last step had ended.
@@ -120,26 +134,41 @@
     def _kill(self, node, span, _):
         disturbance = self._disturb("kill", node)
         with self._busy[node.number]:
+            node.handles_signals = False
             node.kill()
             time.sleep(span)
             self.fleet.start_node(node)
             self._wait_ready(node)
+            node.handles_signals = True
         self._over(disturbance)
 
     def _terminate(self, node, _, __):
         disturbance = self._disturb("terminate", node)
         with self._busy[node.number]:
-            disturbance.began = time.monotonic()
-            terminate(node)
+            with node.settings_lock:
+                disturbance.began, disturbance.grace_seconds = time.monotonic(), node.grace_seconds
+                terminate(node)
             try:
-                node.popen.wait(GRACE_SECONDS)
+                node.popen.wait(disturbance.grace_seconds)
             except Exception:  # pylint: disable=broad-except
                 disturbance.kind = "terminate, outlived its grace period"
                 node.kill()
+            node.handles_signals = False
             self.fleet.start_node(node)
             self._wait_ready(node)
+            node.handles_signals = True
         self._over(disturbance)
 
+    def _settings(self, node, _, draw):
+        """Another grace period, which a stop that has begun doesn't take."""
+        with node.settings_lock:
+            if not node.handles_signals:
+                return
+            node.set_grace(Schedule.pick(Schedule.GRACE_SECONDS, draw))
+            node.signal(signal.SIGHUP)
+            self.settings_changes += 1
+            time.sleep(0.3)  # It reads them meanwhile.
+
     def _freeze(self, node, span, _):
         disturbance = self._disturb("freeze", node)
         with self._busy[node.number]:
--- a/Tests/Soak/test_soak_judge.py
+++ b/Tests/Soak/test_soak_judge.py
@@ -163,6 +163,11 @@
         self.serve("cut", status=0, failure="RemoteDisconnected", ended=20.9)
         self.check("LOST")
 
+    def test_a_request_that_a_stop_of_another_node_broke_off(self):
+        self.disturb("terminate", 1, 19.0, 24.0)
+        self.serve("cut", status=0, failure="RemoteDisconnected", ended=20.9)
+        self.check("LOST")
+
     def test_a_request_that_a_kill_broke_off(self):
         self.disturb("kill", 0, 19.0, 24.0)
         self.serve("cut", status=0, failure="RemoteDisconnected", ended=20.9)
@@ -214,6 +219,17 @@
         self.assertEqual(Schedule(5, 6, 60).lines(), Schedule(5, 6, 60).lines())
         self.assertNotEqual(Schedule(5, 6, 60).lines(), Schedule(6, 6, 60).lines())
 
+    def test_seeds_differ_in_their_grace_period(self):
+        drawn = {Schedule(seed, 6, 60).grace_seconds for seed in range(40)}
+        self.assertEqual(drawn, set(Schedule.GRACE_SECONDS))
+
+    def test_stops_meet_changes_of_the_configuration_and_of_settings(self):
+        for kind in ("publish-series", "settings"):
+            met = [step for seed in range(40) for steps in [Schedule(seed, 6, 60).steps] for step in steps
+                   if step["kind"] == kind and any(other["kind"] == "terminate" and
+                                                   0 <= step["at"] - other["at"] <= 3 for other in steps)]
+            self.assertGreater(len(met), 10)
+
 
 if __name__ == "__main__":
     unittest.main()
