LibCatalog: Let no late write bring a replaced birth back

A birth that was replaced now needs a second write with nothing of the valid one in between, like an earlier one.

ALateWriteOfAReplacedLaterBirthBringsNothingBack was written with the change.

--- a/Libraries/LibCatalog/upstream_directory.cc
+++ b/Libraries/LibCatalog/upstream_directory.cc
@@ -60,15 +60,19 @@
   const std::int64_t born = registered.record.born;
   newest_birth& newest = newest_births_[registered.record.id];
   newest.seen_at = now;
-  if (born >= newest.born) {
-    newest = {born, now};
+  if (born == newest.born) {
+    newest.other_born = 0;
     return;
   }
-  if (newest.earlier_born != born) {
-    newest.earlier_born = born;
-    newest.earlier_revision = registered.revision;
-  } else if (registered.revision > newest.earlier_revision) {
+  if (born > newest.born && born != newest.replaced_born) {
     newest = {born, now};
+  } else if (newest.other_born != born) {
+    newest.other_born = born;
+    newest.other_revision = registered.revision;
+  } else if (registered.revision > newest.other_revision) {
+    newest = {.born = born,
+              .seen_at = now,
+              .replaced_born = std::max(newest.born, newest.replaced_born)};
   }
 }
 
@@ -78,7 +82,7 @@
   RememberLeaving(now, registered);
   std::map<std::string, entry, std::less<>> updated;
   for (const registered_upstream& each : registered) {
-    if (IsOfEarlierBirth(each)) {
+    if (IsOfOtherBirth(each)) {
       // The later start writes its registration again.
       if (const auto held = entries_.find(each.record.id);
           held != entries_.end()) {
@@ -118,11 +122,11 @@
   return has_expired;
 }
 
-bool upstream_directory::IsOfEarlierBirth(
+bool upstream_directory::IsOfOtherBirth(
     const registered_upstream& registered) const {
   const auto newest = newest_births_.find(registered.record.id);
   return newest != newest_births_.end() &&
-         registered.record.born < newest->second.born;
+         registered.record.born != newest->second.born;
 }
 
 // A registration that was removed and shows again without having been created
--- a/Libraries/LibCatalog/upstream_directory.h
+++ b/Libraries/LibCatalog/upstream_directory.h
@@ -108,10 +108,12 @@
   struct newest_birth {
     std::int64_t born = 0;
     time_point seen_at{};
-    /// An earlier birth that was written since, and the revision of that; 0 if
-    /// there is none.
-    std::int64_t earlier_born = 0;
-    std::uint64_t earlier_revision = 0;
+    /// Another birth that was written since and may be of a start that is gone,
+    /// and the revision of that; 0 if there is none.
+    std::int64_t other_born = 0;
+    std::uint64_t other_revision = 0;
+    /// A later birth that it has replaced; 0 if there is none.
+    std::int64_t replaced_born = 0;
   };
 
   const entry* OwnEntry() const;
@@ -120,7 +122,7 @@
   void UpdateOwnColdness(time_point now);
   bool IsSuperseded(const entry& candidate) const;
   void RecordBirth(time_point now, const registered_upstream& registered);
-  bool IsOfEarlierBirth(const registered_upstream& registered) const;
+  bool IsOfOtherBirth(const registered_upstream& registered) const;
   bool IsLeaving(const registered_upstream& registered) const;
   void RememberLeaving(time_point now,
                        std::span<const registered_upstream> registered);
--- a/Tests/LibCatalog/test_upstream_directory.cc
+++ b/Tests/LibCatalog/test_upstream_directory.cc
@@ -304,6 +304,21 @@
   BOOST_TEST(Ledger()[0].is_leaving);
 }
 
+// A late write of the start that it has replaced doesn't bring that back.
+BOOST_AUTO_TEST_CASE(ALateWriteOfAReplacedLaterBirthBringsNothingBack) {
+  const auto earlier = Born(Registered("i-1", "10.0.0.1"), 1'000);
+  const auto later = Born(Registered("i-1", "10.0.0.1"), 2'000);
+  Update({WrittenAt(later, 5)});
+  Update({WrittenAt(earlier, 7)});
+  Update({WrittenAt(earlier, 9)});
+  const std::uint64_t valid = Ledger()[0].incarnation;
+  Update({WrittenAt(Leaving(later), 10)});
+  BOOST_TEST(Ledger()[0].incarnation == valid);
+  BOOST_TEST(!Ledger()[0].is_leaving);
+  Update({WrittenAt(earlier, 11)});
+  BOOST_TEST(Ledger()[0].incarnation == valid);
+}
+
 // A start whose last writes come late, between those of the next one, is not
 // taken for a later one.
 BOOST_AUTO_TEST_CASE(LateWritesBetweenThoseOfALaterBirthBringNothingBack) {
