LibTraffic: Answer callers that don't end their header section in time

Found by the review: the time limit of a header section was the expiry of the stream, which closes the connection, so the 408 for it could never be sent; and the mark that ends the reading of a connection could stay set when bytes came in the same turn as the end of an idle wait, which cut the next request that needed a second read.

The header section now has a limit like that of a body, set only when it isn't whole yet, and a limit takes its mark back when it goes.

ACallerThatDoesNotEndItsHeaderInTimeIsAnswered tests the first; the second was found by reading, WhatArrivesBeforeABusyThreadClosesIsRead asks for the mark.

--- a/Libraries/LibTraffic/reading_limit.h
+++ b/Libraries/LibTraffic/reading_limit.h
@@ -7,9 +7,9 @@
 
 namespace wagtailmount::detail {
 
-/// Stops reading from a connection at a time, unless it is destroyed before;
-/// see http_connection::StopReading(). Replaces the expiry of the stream. Used
-/// on the thread of the connection, which must outlive it.
+/// Stops reading from a connection at a time, until it is destroyed; see
+/// http_connection::StopReading(). Replaces the expiry of the stream. Used on
+/// the thread of the connection, which must outlive it.
 class reading_limit {
  public:
   reading_limit(http_connection& connection, time_point end);
@@ -18,9 +18,13 @@
   ~reading_limit();
 
  private:
-  // Shared with the timer's handler, which may run after the limit is gone;
-  // null then.
-  std::shared_ptr<http_connection*> connection_;
+  struct shared_state {
+    http_connection* connection = nullptr;  ///< Null once the limit is gone.
+    bool is_over = false;
+  };
+
+  // Shared with the timer's handler, which may run after the limit is gone.
+  std::shared_ptr<shared_state> state_;
   boost::asio::steady_timer timer_;
 };
 
--- a/Libraries/LibTraffic/request_reading.cc
+++ b/Libraries/LibTraffic/request_reading.cc
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-constexpr std::size_t kFirstReadBytes = 4096;
 
 task<bool> SendContinue(http_connection& sender) {
   error_code failure;
@@ -54,7 +53,6 @@
   if (failure != boost::asio::error::operation_aborted) {
     co_return failure ? request_wait::kClosed : request_wait::kArrived;
   }
-  connection.is_reading_stopped = false;
   // A busy thread comes late to end the wait.
   co_return connection.ReadAvailable(kFirstReadBytes) ? request_wait::kArrived
                                                       : request_wait::kEnded;
@@ -63,9 +61,17 @@
 task<std::optional<request_read_fault>> ReadRequestHeader(
     http_connection& connection, http_request_parser& parser,
     const request_limits& limits) {
-  connection.stream.expires_after(limits.header_timeout);
-  const error_code failure =
-      co_await ReadHeader(connection, parser, limits.header_bytes);
+  error_code failure = ParseHeader(connection, parser);
+  if (failure || parser.is_header_done()) {
+    co_return FaultOf(failure, parser);
+  }
+  const reading_limit limit{connection,
+                            time_point::clock::now() + limits.header_timeout};
+  failure = co_await ReadHeader(connection, parser, limits.header_bytes);
+  if (failure == boost::asio::error::operation_aborted &&
+      connection.is_reading_stopped) {
+    failure = boost::beast::error::timeout;
+  }
   co_return FaultOf(failure, parser);
 }
 
--- a/Libraries/LibTraffic/request_reading.h
+++ b/Libraries/LibTraffic/request_reading.h
@@ -9,6 +9,9 @@
 /// Sets the size limits of the parser.
 void ConfigureParser(http_request_parser& parser, const request_limits& limits);
 
+/// How much is read of a request at first.
+inline constexpr std::size_t kFirstReadBytes = 4096;
+
 /// How the wait for a request ended.
 enum class request_wait : std::uint8_t {
   kArrived,  ///< Its first bytes are in the connection's buffer.
--- a/Tests/LibTraffic/test_request_path.cc
+++ b/Tests/LibTraffic/test_request_path.cc
@@ -57,6 +57,21 @@
   BOOST_TEST(caller.IsClosed());
 }
 
+// Guards against a connection that is closed by the time limit of a header
+// section, so that the answer to that can't be sent.
+BOOST_AUTO_TEST_CASE(ACallerThatDoesNotEndItsHeaderInTimeIsAnswered) {
+  fixture_options options;
+  options.header_timeout = std::chrono::milliseconds{300};
+  traffic_fixture fixture{1, options};
+  fixture.Publish();
+  test_caller caller{fixture.Entry().caller_address};
+  caller.Send("GET / HTTP/1.1\r\nHost: a\r\n");
+  const auto answer = caller.Receive();
+  BOOST_TEST(answer.status == 408);
+  BOOST_TEST(answer.Field("Wagtailmount-Verdict") == "not-run");
+  BOOST_TEST(caller.IsClosed());
+}
+
 // Callers that come back at once, each time on a new connection, leave the one
 // before open. Kept connections must not take the descriptors that new ones
 // need.
--- a/Tests/LibTraffic/test_request_reading.cc
+++ b/Tests/LibTraffic/test_request_reading.cc
@@ -62,6 +62,7 @@
   waiting.context.run();
   BOOST_TEST((waiting.ended == request_wait::kArrived));
   BOOST_TEST(waiting.connection.buffer.size() == kRequest.size());
+  BOOST_TEST(!waiting.connection.is_reading_stopped);
 }
 
 BOOST_AUTO_TEST_CASE(AConnectionWithoutARequestEndsItsWait) {
--- a/Tests/LibTraffic/traffic_fixture.cc
+++ b/Tests/LibTraffic/traffic_fixture.cc
@@ -168,6 +168,7 @@
   parts.version.revision = 1;
   parts.services = {ledger, other};
   parts.limits.idle_timeout = options_.idle_timeout;
+  parts.limits.header_timeout = options_.header_timeout;
   for (const char* prefix : {"/background", "/repeatable", "/"}) {
     parts.routes.push_back(MakeRoute(prefix, ledger, retry, options_));
   }
--- a/Tests/LibTraffic/traffic_fixture.h
+++ b/Tests/LibTraffic/traffic_fixture.h
@@ -54,7 +54,8 @@
   std::chrono::milliseconds deadline{2'000};
   std::chrono::milliseconds latency_objective{0};  ///< 0: there is none.
   std::uint32_t maximum_descriptors = 0;  ///< Of each node; 0 if unknown.
-  std::chrono::milliseconds idle_timeout{15'000};  ///< Of callers.
+  std::chrono::milliseconds idle_timeout{15'000};   ///< Of callers.
+  std::chrono::milliseconds header_timeout{3'000};  ///< Of callers.
   double cold_overage = 1.0;
   std::uint32_t cold_slack = 0;
   double link_megabits_per_second = 0.0;  ///< Of each node; 0 if unknown.
