LibTraffic: Wait for another node's word on what began after a stop's signal

Found by the review: a request that came after the signal has its deadline at the time when the last answers are due, and the expiry of its stream closed the connection at the same moment as it was called off. It got 504 for what its owner could have said. Such an exchange now waits as long as the others for the owner's word. By reading; no test without a moment of its own.

--- a/Libraries/LibTraffic/exchange.cc
+++ b/Libraries/LibTraffic/exchange.cc
@@ -142,7 +142,7 @@
                                 answer_rules rules,
                                 const disconnect_watcher& watch) {
   attempt_result result;
-  connection->stream.expires_after(deadline - clock.Now());
+  connection->stream.expires_after(deadline + rules.verdict_wait - clock.Now());
   error_code failure;
   std::unique_ptr<http_response_parser> parser =
       co_await ReadOwnAnswerHeader(*connection, request, failure);
@@ -206,7 +206,7 @@
   watch.CloseOnDisconnect(connection.get(), rules.is_other_node
                                                 ? withdrawal::kCallOff
                                                 : withdrawal::kClose);
-  connection->stream.expires_after(deadline - clock.Now());
+  connection->stream.expires_after(deadline + rules.verdict_wait - clock.Now());
   const bool is_long = IsBodyAnnounced(request);
   if (is_long && !rules.is_body_announced) {
     connection->AllowSlowReading(deadline);
--- a/Libraries/LibTraffic/exchange.h
+++ b/Libraries/LibTraffic/exchange.h
@@ -48,6 +48,8 @@
   /// The peer is another node: it refuses a queued request that is called off,
   /// and says so when it closes the connection unread.
   bool is_other_node = false;
+  /// How long after the deadline its answer is waited for.
+  duration verdict_wait{};
 };
 
 /// Writes `request` on `connection` and reads the answer. Ends at `deadline`,
--- a/Libraries/LibTraffic/owner_call.cc
+++ b/Libraries/LibTraffic/owner_call.cc
@@ -113,6 +113,14 @@
   }
 }
 
+// A request that is withdrawn at the end of this process, which is its deadline
+// then, is called off before its connection is given up.
+duration VerdictWait(const traffic_state& state,
+                     const entry_request& incoming) {
+  return incoming.deadline == state.answer_by.load() ? state.verdict_wait.load()
+                                                     : duration::zero();
+}
+
 // Whether the owner may be cut off, or its connections silent.
 bool IsUnanswered(attempt_outcome outcome) {
   return outcome == attempt_outcome::kLostWhileWriting ||
@@ -159,7 +167,8 @@
       co_await Exchange(connection, incoming.request, incoming.deadline, clock,
                         {.id = request_id_rule::kRequired,
                          .is_body_announced = IsBodyAnnounced(incoming.request),
-                         .is_other_node = true},
+                         .is_other_node = true,
+                         .verdict_wait = VerdictWait(worker.state, incoming)},
                         watch);
   RecordOwnerClock(worker.pool.ClockOf(owner.hop), result, clock.Now());
   if (connection != nullptr) {
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -148,6 +148,7 @@
   }
 
   void BeginStop(const stop_times& times) override {
+    state_.verdict_wait = times.verdict_wait;
     state_.answer_by = times.answer_by;
     state_.drain_from = times.drain_from;
     state_.is_stopping = true;
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -97,6 +97,8 @@
   std::atomic<bool> is_stopping{false};
   /// When the last answers are to be given; in the far future unless stopping.
   std::atomic<time_point> answer_by{time_point::max()};
+  /// How long after that other nodes may still answer; see stop_times.
+  std::atomic<duration> verdict_wait{duration::zero()};
   /// When new requests begin to be refused; in the far future unless stopping.
   std::atomic<time_point> drain_from{time_point::max()};
   /// No new request starts at this VM's backend server; callers are told to
