LibNode: End a planned stop in time, and read what came before the close

A stop now ends at the end of its schedule also while it closes idle connections, which have nothing in flight, and is looked at every 20 ms. A connection that is closed at the stop is read once more, so that a request that has arrived is refused as not run; the backlog is accepted one step before. A lingering close counts as an answer on its way.

AStopGoesThroughItsPhases has the new cases.

--- a/Libraries/LibNode/catalog_node.cc
+++ b/Libraries/LibNode/catalog_node.cc
@@ -107,7 +107,6 @@
 
 void catalog_node::Tick() {
   control_->Tick();
-  ContinueStop();
   log_.Flush();
   if (!context_.stopped()) {
     ScheduleTick();
@@ -162,12 +161,21 @@
           .Number("in_flight",
                   static_cast<std::int64_t>(traffic_->Counters().in_flight))
           .Number("grace_ms", settings_.drain_grace.count()));
+  ScheduleStop();
+}
+
+void catalog_node::ScheduleStop() {
+  // The steps of a short grace period are some tens of milliseconds apart.
+  constexpr std::chrono::milliseconds kStopInterval{20};
+  stop_timer_.expires_after(kStopInterval);
+  stop_timer_.async_wait([this](const boost::system::error_code& failure) {
+    if (!failure) {
+      ContinueStop();
+    }
+  });
 }
 
 void catalog_node::ContinueStop() {
-  if (!is_stopping_) {
-    return;
-  }
   const duration elapsed = clock_.Now() - stop_began_;
   const stop_progress progress{
       .is_idle = traffic_->IsIdle(),
@@ -180,19 +188,30 @@
       BeginDrain(elapsed);
       break;
     case stop_phase::kClose:
-      BeginDrain(elapsed);
+      if (!is_draining_) {
+        // What waits in the listen backlogs is accepted first.
+        BeginDrain(elapsed);
+        break;
+      }
       traffic_->CloseIdleConnections();
       if (traffic_->HasClosedIdleConnections() && traffic_->IsIdle()) {
         Finish(true);
       }
       break;
     case stop_phase::kCut:
+      if (progress.is_idle) {
+        Finish(true);
+        break;
+      }
       log_.Add(log_line{"stop-cuts-requests"}.Number(
           "in_flight",
           static_cast<std::int64_t>(traffic_->Counters().in_flight)));
       Finish(false);
       break;
   }
+  if (!context_.stopped()) {
+    ScheduleStop();
+  }
 }
 
 void catalog_node::BeginDrain(duration elapsed) {
--- a/Libraries/LibNode/catalog_node.h
+++ b/Libraries/LibNode/catalog_node.h
@@ -49,6 +49,7 @@
   void Reload();
   void BeginStop(time_point arrived_at);
   void ContinueStop();
+  void ScheduleStop();
   void BeginDrain(duration elapsed);
   void Finish(bool is_clean);
 
@@ -58,6 +59,7 @@
   settings_loader reload_;
   boost::asio::io_context context_{1};
   boost::asio::steady_timer timer_{context_};
+  boost::asio::steady_timer stop_timer_{context_};
   structured_log log_;
   std::unique_ptr<traffic_server> traffic_;
   std::unique_ptr<catalog_source> source_;
--- a/Libraries/LibNode/stop_schedule.cc
+++ b/Libraries/LibNode/stop_schedule.cc
@@ -53,7 +53,8 @@
 
 stop_phase StopPhaseAt(duration elapsed, const stop_schedule& schedule,
                        const stop_progress& progress) {
-  if (elapsed >= schedule.close_at && progress.is_idle) {
+  if (elapsed < schedule.end_by && elapsed >= schedule.close_at &&
+      progress.is_idle) {
     return stop_phase::kClose;
   }
   const bool is_answered = progress.has_withdrawn && !progress.is_answering;
--- a/Libraries/LibNode/stop_schedule.h
+++ b/Libraries/LibNode/stop_schedule.h
@@ -12,7 +12,8 @@
   kNotice,  ///< Serves, and tells callers to close their connections.
   kDrain,   ///< Refuses new requests as not run, and ends those in flight.
   kClose,   ///< Nothing is in flight: closes the idle connections.
-  kCut,     ///< The grace period ends: breaks off what is in flight.
+  kCut,     ///< The grace period ends: breaks off what is in flight, and the
+            ///< close of idle connections.
 };
 
 /// When a stopping node does what, counted from the signal to stop. All lie
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -297,7 +297,7 @@
 task<void> CloseWithNotice(traffic_worker& worker, http_connection& client) {
   // Longer than a request is on its way between two nodes.
   constexpr std::chrono::milliseconds kCrossingTime{200};
-  ++worker.closing_clients;
+  const counted_guard closing{worker.closing_clients};
   refusal_answer notice;
   notice.reason = NameOf(refusal_cause::kDraining);
   notice.is_kept_alive = false;
@@ -306,7 +306,6 @@
   if (is_written) {
     co_await LingeringClose(client, kCrossingTime);
   }
-  --worker.closing_clients;
 }
 
 }  // namespace
--- a/Libraries/LibTraffic/pipelined_session.cc
+++ b/Libraries/LibTraffic/pipelined_session.cc
@@ -140,6 +140,7 @@
     // Counted as in flight, so that the last answer reaches the caller before
     // the process ends.
     if (next == next_step::kLingeringClose) {
+      const counted_guard writing{worker.state.counters.answers_being_written};
       co_await LingeringClose(line->connection);
     }
   }
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -68,6 +68,10 @@
     ended = co_await WaitForRequest(client, idle_since + idle_timeout(state));
     idle_clients.erase(&client);
   }
+  if (ended == request_wait::kEnded && state.is_closing) {
+    // What was sent in time is refused, not closed unread.
+    co_return client.buffer.size() > 0 || client.ReadAvailable(kFirstReadBytes);
+  }
   co_return ended == request_wait::kArrived;
 }
 
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -190,7 +190,7 @@
   caller_wait_estimator patience;
   std::set<http_connection*> idle_clients;
   /// Other nodes that are being told that their connection is closed.
-  std::size_t closing_clients = 0;
+  std::atomic<std::uint64_t> closing_clients{0};
   boost::asio::steady_timer withdraw_timer;
   // Declared after the context, so that idle connections are destroyed first.
   connection_pool pool;
--- a/Tests/LibNode/test_stop_schedule.cc
+++ b/Tests/LibNode/test_stop_schedule.cc
@@ -44,6 +44,9 @@
       {milliseconds{5'200}, false, true, true, stop_phase::kDrain},
       {milliseconds{5'599}, false, true, true, stop_phase::kDrain},
       {milliseconds{5'600}, false, true, true, stop_phase::kCut},
+      // The close of idle connections, which takes a while, ends in time too.
+      {milliseconds{5'599}, true, true, false, stop_phase::kClose},
+      {milliseconds{5'600}, true, true, false, stop_phase::kCut},
   };
   for (const phase_case& each : table) {
     BOOST_TEST((StopPhaseAt(each.elapsed, schedule,
