--- a/Tests/LibTraffic/test_planned_stop.cc
+++ b/Tests/LibTraffic/test_planned_stop.cc
@@ -7,6 +7,25 @@
 using wagtailmount::time_point;
 using namespace wagtailmount::testing;  // NOLINT(google-build-using-namespace)
 
+namespace {
+
+// A refusal as not run that names no request; each of `more_fields` ends with
+// CRLF.
+std::string RefusalWithoutId(const std::string& more_fields) {
+  return "HTTP/1.1 503 Service Unavailable\r\n"
+         "Wagtailmount-Verdict: not-run\r\n"
+         "Wagtailmount-Reason: draining\r\n" +
+         more_fields + "Content-Length: 0\r\n\r\n";
+}
+
+// Lets all nodes take `owner` for the node beside the upstream.
+void SendTo(const scripted_owner& owner, traffic_fixture& fixture) {
+  fixture.Publish(
+      [&owner](wagtailmount::upstream& each) { each.hop = owner.Address(); });
+}
+
+}  // namespace
+
 BOOST_AUTO_TEST_SUITE(planned_stop_suite)
 
 // Guards against an attempt that began before the signal to stop, and keeps its
@@ -102,16 +121,11 @@
 
 BOOST_AUTO_TEST_CASE(ARequestThatCrossesTheNoticeHasNotRun) {
   traffic_fixture fixture{1};
-  scripted_owner closing{2, [](const std::string&) {
-                           return "HTTP/1.1 503 Service Unavailable\r\n"
-                                  "Wagtailmount-Verdict: not-run\r\n"
-                                  "Wagtailmount-Reason: draining\r\n"
-                                  "Wagtailmount-Closing: 1\r\n"
-                                  "Content-Length: 0\r\n\r\n";
-                         }};
-  fixture.Publish([&closing](wagtailmount::upstream& each) {
-    each.hop = closing.Address();
-  });
+  scripted_owner closing{
+      2, [](const std::string&) {
+        return RefusalWithoutId("Wagtailmount-Closing: 1\r\n");
+      }};
+  SendTo(closing, fixture);
   for (const char* method : {"GET", "POST"}) {
     const auto answer = Call(fixture.Entry().caller_address, method, "/");
     BOOST_TEST(answer.status == 503);
@@ -122,14 +136,9 @@
 // What another answer without the id of the request says is not about it.
 BOOST_AUTO_TEST_CASE(ARefusalThatNamesNoRequestProvesNothing) {
   traffic_fixture fixture{1};
-  scripted_owner faulty{1, [](const std::string&) {
-                          return "HTTP/1.1 503 Service Unavailable\r\n"
-                                 "Wagtailmount-Verdict: not-run\r\n"
-                                 "Wagtailmount-Reason: draining\r\n"
-                                 "Content-Length: 0\r\n\r\n";
-                        }};
-  fixture.Publish(
-      [&faulty](wagtailmount::upstream& each) { each.hop = faulty.Address(); });
+  scripted_owner faulty{
+      1, [](const std::string&) { return RefusalWithoutId(""); }};
+  SendTo(faulty, fixture);
   BOOST_TEST(Call(fixture.Entry().caller_address, "POST", "/").status == 502);
 }
 
