LibAdmin, platform, LibSource: Bound what is read and not parsed

Any connection to the readiness or admin port that sent a chunk's extension, or a trailer, without end filled the memory of the node: 15 connections took 2.3 GB in 10 s (unchanged, VmHWM, while it still said it was ready), where the users' VMs have 88 to 512 MB. The platform's reader and the operators' command had the same: Beast's parser asks for more until the line ends, and the buffer that it reads into had no limit; body_limit and header_limit see nothing of it. LibTraffic has a bound of its own (kMaximumFramingBytes) and was not concerned.

Ruled out: the peers' port (websocketpp bounds header, frame and message) and the ports of callers and other nodes, which the same test covers: they ended every connection, on the old code too.

The folder interface's client (LibSource) has the mend by reading, without a test.

--- a/Libraries/LibAdmin/admin_client.cc
+++ b/Libraries/LibAdmin/admin_client.cc
@@ -15,6 +15,9 @@
 namespace http = beast::http;
 
 constexpr std::uint64_t kMaximumAnswerBytes = std::uint64_t{64} * 1024 * 1024;
+// What is read and not parsed yet. The parser itself would wait for the end of
+// a chunk's extension or of a trailer without limit.
+constexpr std::size_t kMaximumBufferedBytes = std::size_t{128} * 1024;
 
 /// One call with its steps chained; each step starts the next until one fails.
 class admin_exchange {
@@ -67,7 +70,7 @@
   asio::io_context context_;
   endpoint node_;
   beast::tcp_stream stream_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kMaximumBufferedBytes};
   http::request<http::empty_body> request_;
   http::response_parser<http::string_body> parser_;
   beast::error_code failure_;
--- a/Libraries/LibAdmin/admin_server.cc
+++ b/Libraries/LibAdmin/admin_server.cc
@@ -27,6 +27,13 @@
 constexpr std::chrono::seconds kCallTimeout{10};
 constexpr std::uint32_t kMaximumHeaderBytes = 8'192;
 constexpr std::uint64_t kMaximumBodyBytes = 4'096;
+constexpr std::size_t kMaximumBufferedBytes = 65'536;
+
+/// Connections that wait for a call, so that the descriptors of requests are
+/// not used up: above it, the one that has waited longest is closed.
+constexpr std::size_t kMostWaitingConnections = 64;
+/// After a connection could not be accepted, as when descriptors run out.
+constexpr std::chrono::milliseconds kAcceptPause{20};
 
 constexpr std::chrono::seconds kLingerTimeout{1};
 constexpr std::size_t kMaximumDiscardedBytes = 65'536;
@@ -103,7 +110,9 @@
 asio::awaitable<void> ServeConnection(tcp::socket socket,
                                       admin_handler& handler) {
   beast::tcp_stream stream(std::move(socket));
-  beast::flat_buffer buffer;
+  // The parser itself would wait for the end of a chunk's extension or of a
+  // trailer without limit.
+  beast::flat_buffer buffer{kMaximumBufferedBytes};
   while (true) {
     http::request_parser<http::string_body> parser;
     parser.header_limit(kMaximumHeaderBytes);
--- a/Libraries/LibSource/http_platform_client.cc
+++ b/Libraries/LibSource/http_platform_client.cc
@@ -36,6 +36,9 @@
 namespace {
 
 constexpr std::uint32_t kMaximumHeaderBytes = 8 * 1024;
+/// What is read and not parsed yet. The parser itself would wait for the end of
+/// a chunk's extension or of a trailer without limit.
+constexpr std::size_t kMaximumBufferedBytes = std::size_t{128} * 1024;
 constexpr unsigned kHttp11 = 11;
 
 /// Parameters of one HTTP request.
@@ -100,7 +103,7 @@
   http::response_parser<http::string_body> parser;
   parser.body_limit(parameters.maximum_body_bytes);
   parser.header_limit(kMaximumHeaderBytes);
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaximumBufferedBytes};
   co_await http::async_read(stream, buffer, parser, token);
   if (failure) {
     co_return failed("reading the answer to " + parameters.target);
