--- a/Libraries/LibCatalog/catalog_feed.cc
+++ b/Libraries/LibCatalog/catalog_feed.cc
@@ -1,6 +1,7 @@
 #include "LibCatalog/catalog_feed.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace wagtailmount {
 
@@ -61,7 +62,11 @@
     // does answer: this does not count as a failure.
     needs_listing_ = true;
     may_list_stale_ = false;
-    next_call_ = is_reader_ ? now
+    // A listing that didn't help is not made again at once.
+    const bool is_first = !std::exchange(has_conflicted_, true);
+    const milliseconds pause =
+        is_first ? milliseconds::zero() : settings_.first_backoff;
+    next_call_ = is_reader_ ? now + pause
                             : now + settings_.listing_grace +
                                   RandomUpTo(settings_.listing_grace / 2);
     return;
@@ -75,6 +80,7 @@
   next_call_ = now;
   if (ended == feed_call::kWatch) {
     fresh_at_ = std::max(fresh_at_, std::optional{now - transfer});
+    has_conflicted_ = false;
     next_call_ = has_changes ? now + settings_.watch_pause : now;
   } else if (ended == feed_call::kList) {
     // A listing comes in pages and is as new as its first one.
--- a/Libraries/LibCatalog/catalog_feed.h
+++ b/Libraries/LibCatalog/catalog_feed.h
@@ -135,6 +135,7 @@
   bool may_list_stale_ = true;
   bool needs_own_read_ = false;
   bool has_listed_upstreams_ = false;
+  bool has_conflicted_ = false;  ///< Since the last watch that was answered.
   feed_call in_flight_ = feed_call::kNone;
   time_point in_flight_since_{};
   time_point next_call_{};
--- a/Tests/LibCatalog/test_catalog_feed.cc
+++ b/Tests/LibCatalog/test_catalog_feed.cc
@@ -105,6 +105,24 @@
   BOOST_TEST(!feed.IsFailing());
 }
 
+// Guards against a platform that is asked without pause, as its listings don't
+// help.
+BOOST_AUTO_TEST_CASE(AListingThatDidNotHelpIsNotMadeAgainAtOnce) {
+  feed.SetReader(true);
+  Call(feed_call::kListStale);
+  Call(feed_call::kWatch, error_kind::kConflict);
+  Call(feed_call::kList);
+  Call(feed_call::kWatch, error_kind::kConflict);
+  BOOST_TEST((Next(7) == feed_call::kNone));
+  clock.Advance(milliseconds{200});
+  BOOST_TEST((Next(7) == feed_call::kList));
+  Call(feed_call::kList);
+  Call(feed_call::kWatch);
+  clock.Advance(milliseconds{200});
+  Call(feed_call::kWatch, error_kind::kConflict);
+  BOOST_TEST((Next(7) == feed_call::kList));
+}
+
 // Guards against a burst of listings: if every node of a failure domain has a
 // watch of its own when the platform discards its history, all of them have to
 // list. Followers wait, so that the reader can list and send them the result.
--- a/Tests/Process/test_odd_entries.py
+++ b/Tests/Process/test_odd_entries.py
@@ -8,6 +8,8 @@
 
 VALUE_BYTES = 1 << 20  # The largest value that the store takes.
 CONVERGE_SECONDS = 2.0
+OUTAGE_SECONDS = 5.0  # After the store's return, a change is in force in the usual time.
+MOST_CHANGES = 16  # Of the largest size; they take 22 MB in an answer.
 SMALLEST_MEMORY_KB = 88 * 1024  # Of the users' VMs.
 ENTRY = (b'{"service":"ledger","address":"127.0.0.9:9","zone":"hall-a","config-version":"v1","slots":8,"state":"ready",'
          b'"cold-remaining":"0ms","seq":1}')
@@ -91,6 +93,19 @@
         for vm in SERVICES:
             self.assertLess(self.peak_memory_kb(vm), SMALLEST_MEMORY_KB, vm)
 
+    # Guards against nodes that follow the store no longer, since what changed while it was away is too long for one
+    # answer.
+    def test_changes_that_are_too_long_for_one_answer_are_followed(self):
+        self.store.is_down = True
+        time.sleep(0.5)
+        for number in range(MOST_CHANGES):
+            self.store.write_bytes(f"servers/odd-{number:02d}", b"[" * VALUE_BYTES)
+        self.store.is_down = False
+        time.sleep(OUTAGE_SECONDS)
+        self.check_all_follow(12)
+        for vm in SERVICES:
+            self.assertLess(self.peak_memory_kb(vm), SMALLEST_MEMORY_KB, vm)
+
     # One node starts among others that hold the odd entries, over a link on which it takes the catalog from a peer.
     def test_a_start_on_a_slow_link_reads_past_odd_entries(self):
         self.leave_odd_entries()
