LibAdmin: Close the longest waiting of many idle connections

Connections to the readiness or admin port that send nothing were kept for 10 s each, without a limit of their number, so that they could use up the descriptors that requests need: 300 of them took 287 and 321 descriptors where the settings allow 256. When descriptors ran out, the acceptance was tried again without pause.

At most 64 connections wait for a call on each of the two ports; above that, the one that has waited longest is closed. A failed acceptance is followed by a pause, as in LibTraffic.

Process.foreign_bytes, idle connections: failed on the unchanged code, passes now.

--- a/Libraries/LibAdmin/admin_server.cc
+++ b/Libraries/LibAdmin/admin_server.cc
@@ -8,11 +8,14 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
 #include <chrono>
+#include <list>
+#include <memory>
 #include <string>
 
 namespace wagtailmount {
@@ -107,8 +110,12 @@
   }
 }
 
-asio::awaitable<void> ServeConnection(tcp::socket socket,
-                                      admin_handler& handler) {
+/// The connections that wait for a call, the longest first.
+using waiting_connections = std::list<beast::tcp_stream*>;
+
+asio::awaitable<void> ServeConnection(
+    tcp::socket socket, admin_handler& handler,
+    std::shared_ptr<waiting_connections> waiting) {
   beast::tcp_stream stream(std::move(socket));
   // The parser itself would wait for the end of a chunk's extension or of a
   // trailer without limit.
@@ -119,9 +126,15 @@
     parser.body_limit(kMaximumBodyBytes);
     stream.expires_after(kCallTimeout);
     beast::error_code failure;
+    waiting->push_back(&stream);
+    if (waiting->size() > kMostWaitingConnections) {
+      waiting->front()->cancel();
+      waiting->pop_front();
+    }
     co_await http::async_read(
         stream, buffer, parser,
         asio::redirect_error(asio::use_awaitable, failure));
+    waiting->remove(&stream);
     const admin_answer answer = failure ? AnswerToParseFailure(failure)
                                         : AnswerCall(handler, parser.get());
     if (answer.status == 0) {
@@ -164,16 +177,23 @@
       if (failure == asio::error::operation_aborted) {
         co_return;
       }
-      if (!failure) {
-        asio::co_spawn(acceptor_.get_executor(),
-                       ServeConnection(std::move(socket), handler_),
-                       asio::detached);
+      if (failure) {
+        asio::steady_timer pause{acceptor_.get_executor(), kAcceptPause};
+        co_await pause.async_wait(
+            asio::redirect_error(asio::use_awaitable, failure));
+        continue;
       }
+      asio::co_spawn(acceptor_.get_executor(),
+                     ServeConnection(std::move(socket), handler_, waiting_),
+                     asio::detached);
     }
   }
 
   tcp::acceptor acceptor_;
   admin_handler& handler_;
+  // Shared with the connections, which may end after the server.
+  std::shared_ptr<waiting_connections> waiting_ =
+      std::make_shared<waiting_connections>();
 };
 
 }  // namespace
--- a/Tests/Process/test_foreign_bytes.py
+++ b/Tests/Process/test_foreign_bytes.py
@@ -8,6 +8,7 @@
 import time
 
 from catalog_fleet import CatalogFleet
+from processes import wait_until
 
 ENTRY, OWNER = "127.0.0.2", "127.0.0.3"
 PIECE = b"x" * 16_384
@@ -34,6 +35,8 @@
 EACH = 3  # Connections of each form, at once.
 LONGEST_SECONDS = 16.0  # The longest time limit of a call, and some more.
 GROWTH_KB, GROWTH_KB_EACH = 8_192, 256
+IDLE_CONNECTIONS = 300
+MAXIMUM_DESCRIPTORS = 256
 
 
 class ForeignBytesTest(CatalogFleet):
@@ -89,6 +92,30 @@
         self.assertLess(self.memory_kb(OWNER, "VmHWM") - before, GROWTH_KB + GROWTH_KB_EACH * len(threads))
 
 
+class IdleConnectionsTest(CatalogFleet):
+    """Connections that send nothing use up none of what another port needs."""
+
+    vms = ForeignBytesTest.vms
+
+    def write_settings(self, vm, domain, service, store_address, **more):
+        super().write_settings(vm, domain, service, store_address, maximum_descriptors=MAXIMUM_DESCRIPTORS, **more)
+
+    def test_idle_connections_leave_room_for_requests(self):
+        for port in ("readiness", "admin"):
+            with self.subTest(port=port):
+                idle = []
+                try:
+                    for _ in range(IDLE_CONNECTIONS):
+                        idle.append(socket.create_connection((OWNER, int(self.ports[port])), timeout=2))
+                    open_now = len(os.listdir(f"/proc/{self.nodes[OWNER].pid}/fd"))
+                    self.assertLess(open_now, MAXIMUM_DESCRIPTORS)
+                    self.assertEqual(self.call(OWNER, "/balance/1")[0], 200)
+                finally:
+                    for connection in idle:
+                        connection.close()
+                wait_until("it is ready again", lambda: self.is_ready(OWNER), 5)
+
+
 def read_all(connection):
     try:
         while connection.recv(65_536):
