LibTraffic: Let no slow caller hold a backend server past its request's time

While the rest of an answer is still to come, the write ends with the time of the answer (0.25 s after the deadline), like the read. An honest slow reader has all the time of its request; what the node itself holds when all of the answer has come, a short answer or the last piece of a long one, it may take another 5 s to read, and by then slot and connection are given back.

Process.endless_answers, on real processes: 60 endless answers at once in 15 forms of heads, framings and bodies, 90 beside uploads of 300 kB (read and unread, in both framings), 40 slow callers; beside each, sound callers at both nodes. Judged: memory, time, verdicts, sound requests, when the backend server is released. On the unchanged code the slow callers fail and the other two pass; all pass now.

--- a/Libraries/LibTraffic/http_message.cc
+++ b/Libraries/LibTraffic/http_message.cc
@@ -195,8 +195,12 @@
   body.more = more;
 }
 
-// A slow reader may take all the time of its request.
+// A slow reader may take all the time of its request, but holds the backend
+// server for no longer. What is held here may take longer.
 time_point WriteBy(const incoming_answer& answer) {
+  if (answer.remaining_body != nullptr) {
+    return answer.rest_by;
+  }
   return std::max<time_point>(time_point::clock::now() + kBodyPieceTimeout,
                               answer.rest_by);
 }
@@ -259,6 +263,9 @@
       co_return false;
     }
     SetBodyPiece(body, piece, read_status == body_status::kMore);
+    if (read_status == body_status::kComplete) {
+      answer.EndRest();
+    }
     connection.stream.expires_at(WriteBy(answer));
     co_await http::async_write(connection.stream, serializer,
                                ReportTo(failure));
--- a/Libraries/LibTraffic/http_message.h
+++ b/Libraries/LibTraffic/http_message.h
@@ -50,6 +50,13 @@
   /// Of a request that may crash backend servers; once the rest has been
   /// streamed, the answer speaks for it.
   std::optional<request_fingerprint> suspect;
+
+  /// The rest has been read: gives back what it held of the backend server.
+  void EndRest() {
+    remaining_body.reset();
+    connection.reset();
+    slot = {};
+  }
 };
 
 /// Reads a header section of at most `maximum_bytes`. The timeout must be set
@@ -97,8 +104,9 @@
                                 outgoing_request& request, time_point deadline);
 
 /// Writes `answer`; false when either side failed, or the rest had not ended in
-/// time. The connection must then be
-/// closed, so that the peer detects the truncation.
+/// time, be it that the peer reads too slowly. The connection must then be
+/// closed, so that the peer detects the truncation. Once all of the answer is
+/// held here, the peer may take longer.
 task<bool> WriteAnswer(http_connection& connection, incoming_answer& answer);
 
 }  // namespace wagtailmount::detail
