LibNode: Go on with a planned stop when SIGTERM comes again

A second SIGTERM ended a node at once, with what was in flight cut. It was so by design, but a supervisor that repeats its signal, or a stop after `wagtailctl drain`, asks for the same planned stop once more, and a planned stop cuts nothing.

SIGTERM during a stop is logged and changes nothing; SIGINT during one, which a person at a terminal sends, still ends it at once. Both interfaces.

--- a/Libraries/LibNode/catalog_node.cc
+++ b/Libraries/LibNode/catalog_node.cc
@@ -119,10 +119,10 @@
                .Flag("is_stopping", is_stopping_));
   if (signal == SIGHUP) {
     Reload();
-  } else if (is_stopping_) {
-    Finish(traffic_->IsIdle());
-  } else {
+  } else if (!is_stopping_) {
     BeginStop(arrived_at);
+  } else if (signal == SIGINT) {
+    Finish(traffic_->IsIdle());
   }
 }
 
--- a/Libraries/LibNode/catalog_node.h
+++ b/Libraries/LibNode/catalog_node.h
@@ -33,8 +33,9 @@
       const node_settings& settings, const platform_adapter& adapter,
       const runtime_clock& clock, settings_loader reload);
 
-  /// Serves until a planned stop has ended. SIGTERM or SIGINT begins one; a
-  /// second signal ends it immediately. Returns false if requests were still in
+  /// Serves until a planned stop has ended. SIGTERM or SIGINT begins one;
+  /// SIGINT during a stop ends it immediately, while SIGTERM, which supervisors
+  /// send again, changes nothing. Returns false if requests were still in
   /// flight when the process stopped.
   bool Run();
 
--- a/Libraries/LibNode/node.cc
+++ b/Libraries/LibNode/node.cc
@@ -113,9 +113,10 @@
         if (failure) {
           return;
         }
+        const bool ends_now = is_draining_ && signal == SIGINT;
         LOG(INFO) << "signal " << signal
-                  << (is_draining_ ? ": stopping immediately" : ": draining");
-        if (is_draining_) {
+                  << (ends_now ? ": stopping immediately" : ": draining");
+        if (ends_now) {
           Finish(traffic_->IsIdle());
           return;
         }
--- a/Libraries/LibNode/node.h
+++ b/Libraries/LibNode/node.h
@@ -26,8 +26,9 @@
   static result<std::unique_ptr<node>> Create(const node_settings& settings,
                                               const runtime_clock& clock);
 
-  /// Serves until a planned stop has ended. SIGTERM or SIGINT begins one; a
-  /// second signal ends it immediately. Returns false if requests were still in
+  /// Serves until a planned stop has ended. SIGTERM or SIGINT begins one, as
+  /// does the operators' interface; SIGINT during a stop ends it immediately,
+  /// while SIGTERM changes nothing. Returns false if requests were still in
   /// flight when the process stopped.
   bool Run();
 
--- a/Tests/Process/test_planned_stop.py
+++ b/Tests/Process/test_planned_stop.py
@@ -63,7 +63,7 @@
         stopped_at = time.monotonic()
         node.send_signal(signal.SIGTERM)
         try:
-            node.wait(self.grace_seconds)
+            self.wait_for_end(node)
         finally:
             callers.stop()
         # The stop has met requests in flight, and others were served.
@@ -72,6 +72,9 @@
         runs = {request_id: when for backend in self.backends.values() for request_id, _, when in backend.ran}
         return list(breaches(callers.requests, runs, stopped_at, self.grace_seconds))
 
+    def wait_for_end(self, node):
+        node.wait(self.grace_seconds)
+
     # Guards against requests that are cut or answered with a failure while a backend server works on them.
     def test_no_request_in_flight_is_cut(self):
         self.assertEqual(self.stop_under_load(LOCAL_AND_REMOTE, (0.02, 0.3, 0.8, 1.6)), [])
