LibTraffic: Call off the newest requests first when a node stops

By reading: requests were called off in the order of their addresses, so that the one that ran could be called off first; the other node freed its slot and started the one that waited before its call-off came.

They are kept in the order of their start now, and called off in reverse.

--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -117,8 +117,11 @@
       line.Number("count", static_cast<std::int64_t>(served_requests.size()));
       state.log->Add(std::move(line));
     }
-    for (disconnect_watcher* const request : served_requests) {
-      request->Withdraw();
+    // The newest first: what is queued elsewhere is called off before the end
+    // of what runs there makes room for it.
+    for (auto each = served_requests.rbegin(); each != served_requests.rend();
+         ++each) {
+      each->second->Withdraw();
     }
     EndWithdrawalsBy(end + verdict_wait);
   });
@@ -129,7 +132,7 @@
   constexpr std::chrono::milliseconds kLookInterval{10};
   const bool is_over = state.clock.Now() >= end;
   if (is_over) {
-    for (disconnect_watcher* const request : served_requests) {
+    for (const auto& [number, request] : served_requests) {
       request->EndWithdrawal();
     }
   }
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -182,8 +182,10 @@
 
   traffic_state& state;
   // Declared before the context, whose coroutines hold guards of it.
-  std::set<disconnect_watcher*> served_requests;
-  std::atomic<bool> has_withdrawn{false};  ///< See WithdrawAt().
+  std::map<std::uint64_t, disconnect_watcher*> served_requests;  ///< By start.
+  std::uint64_t next_served = 0;
+  std::set<http_connection*> answered_clients;  ///< See answer_guard.
+  std::atomic<bool> has_withdrawn{false};       ///< See WithdrawAt().
   boost::asio::io_context context;
   random_source random;
   std::map<std::string, service_state, std::less<>> services;
@@ -203,16 +205,16 @@
 class served_request_guard {
  public:
   served_request_guard(traffic_worker& worker, disconnect_watcher& watch)
-      : worker_(worker), watch_(watch) {
-    worker_.served_requests.insert(&watch_);
+      : worker_(worker), number_(worker.next_served++) {
+    worker_.served_requests.emplace(number_, &watch);
   }
   served_request_guard(const served_request_guard&) = delete;
   served_request_guard& operator=(const served_request_guard&) = delete;
-  ~served_request_guard() { worker_.served_requests.erase(&watch_); }
+  ~served_request_guard() { worker_.served_requests.erase(number_); }
 
  private:
   traffic_worker& worker_;
-  disconnect_watcher& watch_;
+  std::uint64_t number_;
 };
 
 }  // namespace wagtailmount::detail
