LibTraffic: Let the kernel send the rest of an answer to a slow reader at a stop

The process must end, but what it holds need not end with it.

While a node stops, the kernel may buffer as much of the answers that are being written as its administrator allows; it goes on sending when the process is gone. The buffer is only ever enlarged: set below what the kernel has chosen by itself, it would hold less.

An answer beyond that buffer (twice wmem_max at most) is still cut.

--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -204,7 +204,7 @@
     CountVerdict(state_.counters, verdict::kRan);
     const bool is_kept_alive = CanKeepAlive();
     FinishAnswer(*result.answer, id_, is_head_, is_kept_alive);
-    const counted_guard writing{state_.counters.answers_being_written};
+    const answer_guard writing{worker_, caller_};
     const bool is_written = co_await WriteAnswer(caller_, *result.answer);
     if (!is_written) {
       co_return next_step::kCloseNow;
--- a/Libraries/LibTraffic/hop_session.cc
+++ b/Libraries/LibTraffic/hop_session.cc
@@ -223,7 +223,7 @@
     if (!result.crash_reports.empty()) {
       SetField(result.answer->message, kCrashesField, result.crash_reports);
     }
-    const counted_guard writing{state_.counters.answers_being_written};
+    const answer_guard writing{worker_, client_};
     const bool is_written = co_await WriteAnswer(client_, *result.answer);
     if (!is_written) {
       ++state_.counters.late_answers_dropped;
--- a/Libraries/LibTraffic/http_connection.cc
+++ b/Libraries/LibTraffic/http_connection.cc
@@ -4,6 +4,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <limits>
@@ -19,6 +20,22 @@
   return ::poll(&polled, 1, 0) != 0;
 }
 
+constexpr int kMostUnsentBytes = 4 * 1024 * 1024;
+
+// What the kernel makes of kMostUnsentBytes: its administrator limits it, and
+// it adds room for its own records. Zero if it can't be asked.
+int LargestSendBuffer() {
+  const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
+  ::setsockopt(probe, SOL_SOCKET, SO_SNDBUF, &kMostUnsentBytes,
+               sizeof kMostUnsentBytes);
+  int largest = 0;
+  socklen_t size = sizeof largest;
+  const bool is_known =
+      ::getsockopt(probe, SOL_SOCKET, SO_SNDBUF, &largest, &size) == 0;
+  ::close(probe);
+  return is_known ? largest : 0;
+}
+
 }  // namespace
 
 bool http_connection::HasPeerClosed() {
@@ -58,6 +75,19 @@
                            kUnacknowledgedTimeout);
 }
 
+void http_connection::BufferUnsent() {
+  using boost::asio::socket_base;
+  static const int largest = LargestSendBuffer();
+  error_code failure;
+  socket_base::send_buffer_size current;
+  stream.socket().get_option(current, failure);
+  // Setting it ends the kernel's own adjustment, which may have gone further.
+  if (!failure && current.value() < largest) {
+    stream.socket().set_option(socket_base::send_buffer_size{kMostUnsentBytes},
+                               failure);
+  }
+}
+
 void http_connection::StopReading() {
   is_reading_stopped = true;
   stream.cancel();
--- a/Libraries/LibTraffic/http_connection.h
+++ b/Libraries/LibTraffic/http_connection.h
@@ -71,6 +71,10 @@
   /// like a peer that is gone.
   void AllowSlowReading(time_point deadline);
 
+  /// Lets the kernel take as much of what is written as it can. A peer that
+  /// reads slowly gets that even after this process has ended.
+  void BufferUnsent();
+
   /// Ends what waits for bytes, and every later read of a message, but leaves
   /// the connection open, so that its peer can still be answered. The expiry of
   /// the stream would close it.
--- a/Libraries/LibTraffic/traffic_server.cc
+++ b/Libraries/LibTraffic/traffic_server.cc
@@ -154,6 +154,7 @@
     state_.is_stopping = true;
     for (const auto& worker : workers_) {
       boost::asio::post(worker->context, [&worker = *worker, times] {
+        worker.BufferUnsentAnswers();
         worker.WithdrawAt(times.answer_by, times.verdict_wait);
       });
     }
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -155,7 +155,8 @@
   /// continues until BeginDrain() or `drain_from`, because only this process
   /// can reach the backend server. No request gets more time than until
   /// `answer_by`, whenever it began: what runs or waits then is withdrawn, so
-  /// that each request that is read is also answered.
+  /// that each request that is read is also answered. Of answers to slow
+  /// readers, the kernel takes as much as it can.
   virtual void BeginStop(const stop_times& times) = 0;
 
   /// True once everything was withdrawn on every thread.
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -127,6 +127,12 @@
   });
 }
 
+void traffic_worker::BufferUnsentAnswers() {
+  for (http_connection* const client : answered_clients) {
+    client->BufferUnsent();
+  }
+}
+
 // Waits until the requests that were withdrawn have ended, `end` at the latest.
 void traffic_worker::EndWithdrawalsBy(time_point end) {
   constexpr std::chrono::milliseconds kLookInterval{10};
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -180,6 +180,9 @@
   /// have `verdict_wait` to say that one has not run.
   void WithdrawAt(time_point end, duration verdict_wait);
 
+  /// This process ends soon: what it can't pass on by then, the kernel does.
+  void BufferUnsentAnswers();
+
   traffic_state& state;
   // Declared before the context, whose coroutines hold guards of it.
   std::map<std::uint64_t, disconnect_watcher*> served_requests;  ///< By start.
@@ -201,6 +204,29 @@
   void EndWithdrawalsBy(time_point end);
 };
 
+/// Counts and lists a connection as one on which an answer is being written,
+/// for the lifetime of the guard.
+class answer_guard {
+ public:
+  answer_guard(traffic_worker& worker, http_connection& client)
+      : counted_(worker.state.counters.answers_being_written),
+        worker_(worker),
+        client_(client) {
+    worker_.answered_clients.insert(&client_);
+    if (worker_.state.is_stopping) {
+      client_.BufferUnsent();
+    }
+  }
+  answer_guard(const answer_guard&) = delete;
+  answer_guard& operator=(const answer_guard&) = delete;
+  ~answer_guard() { worker_.answered_clients.erase(&client_); }
+
+ private:
+  counted_guard counted_;
+  traffic_worker& worker_;
+  http_connection& client_;
+};
+
 /// Lists a request as served by `worker` for the lifetime of the guard.
 class served_request_guard {
  public:
--- a/Tests/Process/test_slow_peers.py
+++ b/Tests/Process/test_slow_peers.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import http.client
 import os
+import signal
 import socket
 import threading
 import time
@@ -90,3 +91,60 @@
             name = os.urandom(8).hex()
             self.ask_behind(vm, name, "/photos/break-1", "/history/1")
             self.assertNotIn(f"{name}-1", [ran[0] for backend in self.backends.values() for ran in backend.ran])
+
+    # The same on a route whose answers were short so far.
+    def test_what_runs_behind_an_answer_that_breaks_off_is_answered(self):
+        self.configure(5, TIMEOUT_SECONDS)
+        for vm in BOTH:
+            name = os.urandom(8).hex()
+            answers = self.ask_behind(vm, name, "/balance/break-1", "/history/1")
+            ran = [ran[0] for backend in self.backends.values() for ran in backend.ran]
+            if f"{name}-1" in ran:
+                self.assertTrue(f"{name}-1 of ".encode() in answers, "what ran got no answer")
+
+    def ask_behind(self, vm, name, *paths):
+        """Sends all at once; returns what comes until the connection ends or nothing more does."""
+        requests = "".join(
+            f"GET {path} HTTP/1.1\r\nHost: mesh.example\r\nX-Request-Id: {name}-{number}\r\n"
+            f"X-Deadline-Ms: 8000\r\n\r\n" for number, path in enumerate(paths))
+        answers = b""
+        with socket.create_connection((vm, int(self.ports["caller"])), timeout=4) as connection:
+            connection.sendall(requests.encode())
+            try:
+                while piece := connection.recv(65536):
+                    answers += piece
+            except (ConnectionResetError, TimeoutError):
+                pass
+        return answers
+
+
+class SlowReaderAtAStopTest(SlowPeersFleet):
+    grace_seconds = 3.0
+
+    def write_settings(self, vm, domain, service, store_address, **more):
+        super().write_settings(vm, domain, service, store_address,
+                               **{"drain_grace": f"{self.grace_seconds}s", **more})
+
+    # Guards against an answer that is cut at the end of a planned stop, though its backend server has made it.
+    def test_an_answer_outlasts_the_grace_period_of_its_entry(self):
+        self.check_slow_reader(self.nodes[ENTRY])
+
+    def test_an_answer_outlasts_the_grace_period_of_its_owner(self):
+        self.check_slow_reader(self.nodes[OWNER])
+
+    def check_slow_reader(self, node):
+        self.configure(5, TIMEOUT_SECONDS)
+        with socket.socket() as connection:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            # Segments as on a network: with those of the loopback, the kernel would buffer all of it anyway.
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 536)
+            connection.settimeout(TIMEOUT_SECONDS)
+            connection.connect((ENTRY, int(self.ports["caller"])))
+            connection.sendall(f"GET /photos/pause-0 HTTP/1.1\r\nHost: mesh.example\r\nX-Request-Id: "
+                               f"{os.urandom(8).hex()}\r\nX-Deadline-Ms: 9000\r\n\r\n".encode())
+            answer = connection.recv(1_024)
+            node.send_signal(signal.SIGTERM)
+            node.wait(self.grace_seconds)
+            while len(answer.partition(b"\r\n\r\n")[2]) < LONG_ANSWER_BYTES and (piece := connection.recv(65_536)):
+                answer += piece
+        self.assertEqual(len(answer.partition(b"\r\n\r\n")[2]), LONG_ANSWER_BYTES)
