--- a/Libraries/LibNode/metrics_text.cc
+++ b/Libraries/LibNode/metrics_text.cc
@@ -12,7 +12,7 @@
   std::uint64_t traffic_counters::*value;
 };
 
-constexpr std::array<named_counter, 23> kTrafficCounters{{
+constexpr std::array<named_counter, 22> kTrafficCounters{{
     {"requests_total", &traffic_counters::requests},
     {"answered_ran_total", &traffic_counters::answered_ran},
     {"answered_may_have_run_total", &traffic_counters::answered_may_have_run},
@@ -31,7 +31,6 @@
     {"backend_crashes_total", &traffic_counters::backend_crashes},
     {"refused_quarantined_total", &traffic_counters::refused_quarantined},
     {"closed_crowded_total", &traffic_counters::closed_crowded},
-    {"closed_unread_total", &traffic_counters::closed_unread},
     {"pipelined_requests_total", &traffic_counters::pipelined_requests},
     {"pipelined_cancelled_total", &traffic_counters::pipelined_cancelled},
     {"pipelined_waiting_bytes", &traffic_counters::pipelined_waiting_bytes},
@@ -49,6 +48,18 @@
   text += '\n';
 }
 
+// Adds a line for each cause of an enumeration.
+template <typename cause_type, std::size_t size>
+void AddCauses(std::string& text, std::string_view name,
+               const std::array<std::uint64_t, size>& counts) {
+  for (std::size_t cause = 0; cause < size; ++cause) {
+    std::string labels = "{cause=\"";
+    labels += NameOf(static_cast<cause_type>(cause));
+    labels += "\"}";
+    AddLine(text, name, labels, static_cast<std::int64_t>(counts.at(cause)));
+  }
+}
+
 void AddHistogram(std::string& text, const service_counts& counts) {
   const std::string service = "service=\"" + counts.service + "\"";
   std::uint64_t cumulative_count = 0;
@@ -88,6 +99,9 @@
     AddLine(text, each.name, "",
             static_cast<std::int64_t>(counters.*each.value));
   }
+  AddCauses<close_cause>(text, "closed_total", counters.closed);
+  AddCauses<close_cause>(text, "closed_unread_total", counters.closed_unread);
+  AddCauses<cut_cause>(text, "requests_cut_total", counters.requests_cut);
   const auto& in_force = control.InForce();
   const auto age = control.SourceAge();
   const auto number = [](std::uint64_t value) {
--- a/Libraries/LibTraffic/caller_line.cc
+++ b/Libraries/LibTraffic/caller_line.cc
@@ -166,6 +166,9 @@
 // The requests that wait at a backend server end with their connections.
 void caller_line::Cancel(std::size_t cancelled) {
   worker_.state.counters.pipelined_cancelled += cancelled;
+  worker_.state.counters.requests_cut.Add(
+      has_disconnected_ ? cut_cause::kCallerLeft : cut_cause::kBehind,
+      cancelled);
   for (disconnect_watcher* const watcher : watchers_) {
     watcher->Disconnect();
   }
--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -142,7 +142,7 @@
         co_await ReadRequestBody(caller_, parser_, deadline_, request);
     if (read_status != body_status::kComplete &&
         read_status != body_status::kMore) {
-      co_return co_await RejectBody(read_status);
+      co_return co_await RejectInvalidRequest(FaultOfBody(read_status));
     }
     RemoveHopByHopAndProjectFields(request.message);
     SetFraming(request, parser_);
@@ -207,7 +207,7 @@
     const answer_guard writing{worker_, caller_};
     const bool is_written = co_await WriteAnswer(caller_, *result.answer);
     if (!is_written) {
-      co_return next_step::kCloseNow;
+      co_return Cut(CauseOfCutAnswer(*result.answer));
     }
     if (result.answer->suspect) {
       state_.quarantine.RecordAnswer(*result.answer->suspect);
@@ -216,6 +216,29 @@
                             : next_step::kLingeringClose;
   }
 
+  // Ends the connection without a whole answer. The log drops lines under load,
+  // the counters don't.
+  next_step Cut(cut_cause cause) {
+    state_.counters.requests_cut.Add(cause);
+    if (state_.log != nullptr && cause != cut_cause::kCallerLeft) {
+      log_line line{"request-cut"};
+      line.Text("id", id_).Text("cause", NameOf(cause));
+      state_.log->Add(std::move(line));
+    }
+    return next_step::kCloseNow;
+  }
+
+  cut_cause CauseOfCutAnswer(const incoming_answer& answer) {
+    if (caller_.HasPeerClosed()) {
+      return cut_cause::kCallerLeft;
+    }
+    // The node beside the upstream may end it a moment earlier.
+    const bool is_lost =
+        answer.remaining_body != nullptr &&
+        state_.clock.Now() < answer.rest_by - kStreamedRestGrace;
+    return is_lost ? cut_cause::kAnswerLost : cut_cause::kAnswerLate;
+  }
+
   // Whether another request may follow on the connection.
   bool CanKeepAlive() {
     const bool can_keep_alive = parser_.is_done() && parser_.keep_alive();
@@ -259,27 +282,14 @@
          worker_.random.Below(kSuccessesPerLogLine) != 0)) {
       return;
     }
-    using std::chrono::duration_cast;
-    using std::chrono::milliseconds;
-    log_line line{"request-ended"};
-    line.Text("id", id_)
-        .Text("route", chosen.name)
-        .Text("service", target.name)
-        .Text("upstream", result.upstream)
-        .Text("chosen_as", NameOf(result.why))
-        .Number("attempts", result.attempts)
-        .Text("verdict", NameOf(result.proved))
-        .Text("cause", NameOf(result.cause))
-        .Number("status", result.answer
-                              ? static_cast<std::int64_t>(
-                                    result.answer->message.result_int())
-                              : StatusOf(result.cause, result.proved))
-        .Number("taken_ms", duration_cast<milliseconds>(now - begin_).count())
-        .Number("objective_left_ms",
-                duration_cast<milliseconds>(objective_ - now).count())
-        .Number("version", static_cast<std::int64_t>(
-                               snapshot_->Configuration().Version().revision));
-    state_.log->Add(std::move(line));
+    LogRequestEnd(*state_.log,
+                  {.id = id_,
+                   .chosen_route = chosen,
+                   .target = target,
+                   .result = result,
+                   .taken = now - begin_,
+                   .objective_left = objective_ - now,
+                   .version = snapshot_->Configuration().Version().revision});
   }
 
   task<next_step> Refuse(verdict proved, refusal_cause cause) {
@@ -308,7 +318,8 @@
     }
     const bool is_written = co_await WriteRefusal(caller_, refusal);
     if (!is_written) {
-      co_return next_step::kCloseNow;
+      co_return Cut(caller_.HasPeerClosed() ? cut_cause::kCallerLeft
+                                            : cut_cause::kAnswerLate);
     }
     co_return is_kept_alive ? next_step::kKeepAlive
                             : next_step::kLingeringClose;
@@ -355,7 +366,7 @@
 
   task<next_step> RejectInvalidRequest(request_read_fault read_fault) {
     if (!read_fault.is_answerable) {
-      co_return next_step::kCloseNow;
+      co_return Cut(cut_cause::kRequestLost);
     }
     ++state_.counters.bad_requests;
     CountVerdict(state_.counters, verdict::kNotRun);
@@ -368,22 +379,6 @@
     co_return is_written ? next_step::kLingeringClose : next_step::kCloseNow;
   }
 
-  task<next_step> RejectBody(body_status read_status) {
-    request_read_fault lost;
-    switch (read_status) {
-      case body_status::kInvalid:
-        lost = {true, {400, "malformed-body"}};
-        break;
-      case body_status::kLate:
-        lost = {true, {408, "body-late"}};
-        break;
-      default:
-        lost = {false, {400, "body-lost"}};
-        break;
-    }
-    co_return co_await RejectInvalidRequest(lost);
-  }
-
   traffic_worker& worker_;
   traffic_state& state_;
   caller_line& line_;
--- a/Libraries/LibTraffic/pipelined_session.cc
+++ b/Libraries/LibTraffic/pipelined_session.cc
@@ -21,23 +21,6 @@
   }
 }
 
-// Why a caller's connection ends.
-enum class close_cause : std::uint8_t { kIdle, kStop, kAnswered, kFailed };
-
-std::string_view NameOf(close_cause cause) {
-  switch (cause) {
-    case close_cause::kIdle:
-      return "idle";
-    case close_cause::kStop:
-      return "stop";
-    case close_cause::kAnswered:
-      return "answered";
-    case close_cause::kFailed:
-      return "failed";
-  }
-  return "unknown";
-}
-
 // The first X-Request-Id in bytes that are not parsed; empty if there is none.
 std::string_view RequestIdIn(std::string_view unread) {
   const std::size_t field = unread.find(kRequestIdField);
@@ -64,7 +47,7 @@
   if (unread.empty() || (cause == close_cause::kAnswered && id.empty())) {
     return;
   }
-  ++worker.state.counters.closed_unread;
+  worker.state.counters.closed_unread.Add(cause);
   if (worker.state.log != nullptr) {
     log_line line{"connection-closed-unread"};
     line.Text("cause", NameOf(cause))
@@ -144,6 +127,7 @@
       co_await LingeringClose(line->connection);
     }
   }
+  worker.state.counters.closed.Add(cause);
   ReportUnread(worker, line->connection, cause);
   line->connection.Close();
 }
--- a/Libraries/LibTraffic/request_reading.cc
+++ b/Libraries/LibTraffic/request_reading.cc
@@ -117,6 +117,17 @@
   co_return is_late ? body_status::kLate : read_status;
 }
 
+request_read_fault FaultOfBody(body_status read_status) {
+  switch (read_status) {
+    case body_status::kInvalid:
+      return {true, {400, "malformed-body"}};
+    case body_status::kLate:
+      return {true, {408, "body-late"}};
+    default:
+      return {false, {400, "body-lost"}};
+  }
+}
+
 void SetFraming(outgoing_request& request, http_request_parser& parser) {
   const bool is_complete = request.remaining_body == nullptr;
   if (is_complete && (parser.chunked() || !request.body.empty())) {
--- a/Libraries/LibTraffic/request_reading.h
+++ b/Libraries/LibTraffic/request_reading.h
@@ -49,6 +49,10 @@
                                   time_point deadline,
                                   outgoing_request& request);
 
+/// Why a request is refused whose body was read with this result, which is
+/// neither kComplete nor kMore.
+request_read_fault FaultOfBody(body_status read_status);
+
 /// Sets the fields that delimit the body when the request is forwarded. Must be
 /// called after the hop-by-hop fields were removed.
 void SetFraming(outgoing_request& request, http_request_parser& parser);
--- a/Libraries/LibTraffic/traffic_server.h
+++ b/Libraries/LibTraffic/traffic_server.h
@@ -17,6 +17,7 @@
 #include "LibRouting/routing_snapshot.h"
 #include "LibRouting/upstream_choice.h"
 #include "LibRouting/verdict.h"
+#include "LibTraffic/close_cause.h"
 #include "LibTraffic/request_fields.h"
 
 namespace wagtailmount {
@@ -68,8 +69,12 @@
   std::uint64_t refused_quarantined = 0;
   /// Kept connections of callers ended early, to save descriptors.
   std::uint64_t closed_crowded = 0;
-  /// Connections of callers closed under bytes that were not read.
-  std::uint64_t closed_unread = 0;
+  /// Connections of callers closed, and those of them closed under bytes that
+  /// were not read.
+  close_counts closed{};
+  close_counts closed_unread{};
+  /// Requests that were read and got no whole answer.
+  cut_counts requests_cut{};
   /// Read while others on their connection were not answered, and served
   /// beside them.
   std::uint64_t pipelined_requests = 0;
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -26,7 +26,9 @@
   counts.backend_crashes = backend_crashes;
   counts.refused_quarantined = refused_quarantined;
   counts.closed_crowded = closed_crowded;
-  counts.closed_unread = closed_unread;
+  counts.closed = closed.Read();
+  counts.closed_unread = closed_unread.Read();
+  counts.requests_cut = requests_cut.Read();
   counts.pipelined_requests = pipelined_requests;
   counts.pipelined_cancelled = pipelined_cancelled;
   counts.pipelined_waiting_bytes = pipelined_waiting_bytes;
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -25,6 +27,25 @@
 
 namespace wagtailmount::detail {
 
+/// A counter for each of the `size` values of an enumeration.
+template <std::size_t size>
+class cause_counters {
+ public:
+  template <typename cause_type>
+  void Add(cause_type cause, std::uint64_t count = 1) {
+    counters_[static_cast<std::size_t>(cause)] += count;
+  }
+
+  std::array<std::uint64_t, size> Read() const {
+    std::array<std::uint64_t, size> counts{};
+    std::copy(counters_.begin(), counters_.end(), counts.begin());
+    return counts;
+  }
+
+ private:
+  std::array<std::atomic<std::uint64_t>, size> counters_{};
+};
+
 /// The counters of traffic_counters, written by all traffic threads.
 struct shared_counters {
   std::atomic<std::uint64_t> requests{0};
@@ -44,7 +65,9 @@
   std::atomic<std::uint64_t> backend_crashes{0};
   std::atomic<std::uint64_t> refused_quarantined{0};
   std::atomic<std::uint64_t> closed_crowded{0};
-  std::atomic<std::uint64_t> closed_unread{0};
+  cause_counters<kCloseCauses> closed;
+  cause_counters<kCloseCauses> closed_unread;
+  cause_counters<kCutCauses> requests_cut;
   std::atomic<std::uint64_t> pipelined_requests{0};
   std::atomic<std::uint64_t> pipelined_cancelled{0};
   std::atomic<std::uint64_t> pipelined_waiting_bytes{0};
