LibNode: Log what was cut by cause when the process ends

The counts of cut requests and of connections closed unread go with the process, and on the deployments where tries of callers were cut most, at planned stops, nobody reads the metrics in time. `callers-cut` has them, and how many requests the end of the process itself cut.

--- a/Libraries/LibNode/catalog_node.cc
+++ b/Libraries/LibNode/catalog_node.cc
@@ -2,6 +2,8 @@
 
 #include <boost/asio/post.hpp>
 #include <csignal>
+#include <string>
+#include <string_view>
 #include <utility>
 
 #include "LibNode/signal_listener.h"
@@ -91,6 +93,7 @@
                                 }};
   Tick();
   context_.run();
+  LogCuts();
   log_.Add(log_line{"stopped"}.Flag("is_clean", is_clean_));
   log_.Flush();
   return is_clean_;
@@ -228,6 +231,23 @@
                   static_cast<std::int64_t>(traffic_->Counters().in_flight)));
 }
 
+// Nobody reads the metrics of a process that has ended.
+void catalog_node::LogCuts() {
+  const traffic_counters counters = traffic_->Counters();
+  log_line line{"callers-cut"};
+  for (std::size_t cause = 0; cause < kCutCauses; ++cause) {
+    line.Number(NameOf(static_cast<cut_cause>(cause)),
+                static_cast<std::int64_t>(counters.requests_cut.at(cause)));
+  }
+  for (std::size_t cause = 0; cause < kCloseCauses; ++cause) {
+    const std::string_view name = NameOf(static_cast<close_cause>(cause));
+    line.Number("unread-" + std::string{name},
+                static_cast<std::int64_t>(counters.closed_unread.at(cause)));
+  }
+  line.Number("in_flight", static_cast<std::int64_t>(counters.in_flight));
+  log_.Add(std::move(line));
+}
+
 void catalog_node::Finish(bool is_clean) {
   is_clean_ = is_clean;
   hub_->Stop();
--- a/Libraries/LibNode/catalog_node.h
+++ b/Libraries/LibNode/catalog_node.h
@@ -52,6 +52,7 @@
   void ContinueStop();
   void ScheduleStop();
   void BeginDrain(duration elapsed);
+  void LogCuts();
   void Finish(bool is_clean);
 
   node_settings settings_;
