--- a/Tests/LibSource/test_http_platform_client.cc
+++ b/Tests/LibSource/test_http_platform_client.cc
@@ -144,6 +144,11 @@
     {"headers too large",
      "HTTP/1.1 200 OK\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n",
      error_kind::kInvalidInput},
+    {"a chunk extension of 1 MiB",
+     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n27;" +
+         std::string(std::size_t{1024} * 1024, 'x') +
+         "\r\n{\"revision\": 1, \"entries\":[], \"vms\":[]}\r\n0\r\n\r\n",
+     error_kind::kInvalidInput},
     {"rate limit exceeded", HttpResponse("429 Too Many Requests", "slow down"),
      error_kind::kOverLimit},
     {"server error", HttpResponse("503 Service Unavailable", "no"),
