--- a/Tests/Process/catalog_fleet.py
+++ b/Tests/Process/catalog_fleet.py
@@ -92,6 +92,11 @@
     def runs(self, service):
         return sum(len(backend.ran) for backend in self.backends.values() if backend.service == service)
 
+    def memory_kb(self, vm, field):
+        """What the kernel says of a node's memory, such as "VmRSS" or "VmHWM"."""
+        with open(f"/proc/{self.nodes[vm].pid}/status", encoding="ascii") as status:
+            return int(next(line for line in status if line.startswith(field)).split()[1])
+
     def log_of(self, vm):
         return [json.loads(line) for line in (self.folder / f"{vm}.log").read_text().splitlines()
                 if line.startswith("{")]
--- a/Tests/Process/test_endless_answers.py
+++ b/Tests/Process/test_endless_answers.py
@@ -11,6 +11,7 @@
 from catalog_stand_ins import BackendServer, configuration
 from endless_backend_server import ENDLESS_BODIES, FORMS, EndlessBackendServer
 from processes import wait_until
+from test_slow_peers import send_all
 
 ENTRY, OWNER = "127.0.0.2", "127.0.0.3"
 BOTH = (ENTRY, OWNER)
@@ -73,10 +74,6 @@
         time.sleep(2.0)
         self.endless = self.backends[OWNER]
 
-    def memory_kb(self, vm, field):
-        with open(f"/proc/{self.nodes[vm].pid}/status", encoding="ascii") as status:
-            return int(next(line for line in status if line.startswith(field)).split()[1])
-
     def connect(self, vm, receive_buffer=None):
         connection = socket.socket()
         if receive_buffer:
@@ -175,10 +172,3 @@
                     time.sleep(SLOW_READ_SECONDS)
             except OSError:
                 pass  # Cut by the node.
-
-
-def send_all(connection, content):
-    try:
-        connection.sendall(content)
-    except OSError:
-        pass  # The answer tells.
--- a/Tests/Process/test_foreign_bytes.py
+++ b/Tests/Process/test_foreign_bytes.py
@@ -42,10 +42,6 @@
 class ForeignBytesTest(CatalogFleet):
     vms = {ENTRY: ("hall-a", "casefile"), OWNER: ("hall-a", "ledger")}
 
-    def memory_kb(self, vm, field):
-        with open(f"/proc/{self.nodes[vm].pid}/status", encoding="ascii") as status:
-            return int(next(line for line in status if line.startswith(field)).split()[1])
-
     def connect(self, port):
         return socket.create_connection((OWNER, int(self.ports[port])), timeout=LONGEST_SECONDS)
 
--- a/Tests/Process/test_odd_entries.py
+++ b/Tests/Process/test_odd_entries.py
@@ -54,10 +54,6 @@
         for vm, node in self.nodes.items():
             self.assertIsNone(node.poll(), vm)
 
-    def peak_memory_kb(self, vm):
-        with open(f"/proc/{self.nodes[vm].pid}/status", encoding="ascii") as status:
-            return int(next(line for line in status if line.startswith("VmHWM")).split()[1])
-
     # Guards against nodes that end, or follow the store no longer, because of one entry that is no upstream's.
     def test_odd_entries_are_skipped_and_all_else_is_followed(self):
         logged = {vm: len(self.log_of(vm)) for vm in SERVICES}
@@ -72,7 +68,7 @@
                 self.assertEqual(self.call(vm, "/balance/1")[0], 200)
         self.assertEqual(len(leaving.ran), before)
         for vm in SERVICES:
-            self.assertLess(self.peak_memory_kb(vm), SMALLEST_MEMORY_KB, vm)
+            self.assertLess(self.memory_kb(vm, "VmHWM"), SMALLEST_MEMORY_KB, vm)
             lines = self.log_of(vm)[logged[vm]:]
             self.assertLess(max(len(str(line)) for line in lines), 1_000)
             self.assertEqual(sum(line["event"] == "upstream-unreadable" for line in lines), len(ODD_CONTENTS) + 2)
@@ -91,7 +87,7 @@
             self.assertEqual(self.call(vm, "/added-12/1")[0], 200)
         self.check_all_follow(13)
         for vm in SERVICES:
-            self.assertLess(self.peak_memory_kb(vm), SMALLEST_MEMORY_KB, vm)
+            self.assertLess(self.memory_kb(vm, "VmHWM"), SMALLEST_MEMORY_KB, vm)
 
     # Guards against nodes that follow the store no longer, since what changed while it was away is too long for one
     # answer.
@@ -104,7 +100,7 @@
         time.sleep(OUTAGE_SECONDS)
         self.check_all_follow(12)
         for vm in SERVICES:
-            self.assertLess(self.peak_memory_kb(vm), SMALLEST_MEMORY_KB, vm)
+            self.assertLess(self.memory_kb(vm, "VmHWM"), SMALLEST_MEMORY_KB, vm)
 
     # One node starts among others that hold the odd entries, over a link on which it takes the catalog from a peer.
     def test_a_start_on_a_slow_link_reads_past_odd_entries(self):
@@ -116,4 +112,4 @@
         self.start(vm)
         self.wait_ready([vm])
         self.check_all_follow(12)
-        self.assertLess(self.peak_memory_kb(vm), SMALLEST_MEMORY_KB)
+        self.assertLess(self.memory_kb(vm, "VmHWM"), SMALLEST_MEMORY_KB)
