LibAdmin: End the pause after a failed acceptance with the server

By the review, not shown: the pause resumed with a pointer to the server, which may have been destroyed meanwhile while its context went on. The timer belongs to the server now, so its end is the end of the wait.

--- a/Libraries/LibAdmin/admin_server.cc
+++ b/Libraries/LibAdmin/admin_server.cc
@@ -178,9 +178,13 @@
         co_return;
       }
       if (failure) {
-        asio::steady_timer pause{acceptor_.get_executor(), kAcceptPause};
-        co_await pause.async_wait(
+        // Destroyed with the server, which ends the wait.
+        pause_.expires_after(kAcceptPause);
+        co_await pause_.async_wait(
             asio::redirect_error(asio::use_awaitable, failure));
+        if (failure) {
+          co_return;
+        }
         continue;
       }
       asio::co_spawn(acceptor_.get_executor(),
@@ -190,6 +194,7 @@
   }
 
   tcp::acceptor acceptor_;
+  asio::steady_timer pause_{acceptor_.get_executor()};
   admin_handler& handler_;
   // Shared with the connections, which may end after the server.
   std::shared_ptr<waiting_connections> waiting_ =
