--- a/Libraries/LibTraffic/answers.cc
+++ b/Libraries/LibTraffic/answers.cc
@@ -96,6 +96,20 @@
   SetField(message, kRequestIdField, request_id);
 }
 
+cut_cause CauseOfCut(http_connection& caller) {
+  return caller.HasPeerClosed() ? cut_cause::kCallerLeft
+                                : cut_cause::kAnswerLate;
+}
+
+cut_cause CauseOfCut(http_connection& caller, const incoming_answer& answer,
+                     time_point now) {
+  // The node beside the upstream may end it a moment earlier.
+  const bool is_lost = answer.remaining_body != nullptr &&
+                       now < answer.rest_by - kStreamedRestGrace;
+  return is_lost && !caller.HasPeerClosed() ? cut_cause::kAnswerLost
+                                            : CauseOfCut(caller);
+}
+
 task<void> LingeringClose(http_connection& connection, duration timeout) {
   error_code failure;
   connection.EndSending();
--- a/Libraries/LibTraffic/answers.h
+++ b/Libraries/LibTraffic/answers.h
@@ -6,6 +6,7 @@
 #include "LibBase/random.h"
 #include "LibLoad/attempt_outcome.h"
 #include "LibRouting/verdict.h"
+#include "LibTraffic/close_cause.h"
 #include "LibTraffic/http_message.h"
 
 /// Writes the refusals that this node sends itself, and completes the header
@@ -41,6 +42,11 @@
 void FinishAnswer(incoming_answer& answer, std::string_view request_id,
                   bool is_head, bool is_kept_alive);
 
+/// Why a refusal, or `answer`, could not be written to its caller.
+cut_cause CauseOfCut(http_connection& caller);
+cut_cause CauseOfCut(http_connection& caller, const incoming_answer& answer,
+                     time_point now);
+
 /// Closes a connection so that the last answer reaches a peer that is still
 /// sending: shuts down the sending side, then reads and discards input for at
 /// most `timeout` or 1 MiB. A close with unread input would reset the
--- a/Libraries/LibTraffic/caller_line.cc
+++ b/Libraries/LibTraffic/caller_line.cc
@@ -8,9 +8,6 @@
 namespace {
 
 constexpr std::size_t kReadAheadBytes = 4096;
-// Answers that wait at this node for others on their connections: a twentieth
-// of the memory of the smallest machines.
-constexpr std::uint64_t kMaximumWaitingBytes = std::uint64_t{8} * 1024 * 1024;
 
 bool HasWholeHeader(const boost::beast::flat_buffer& buffer) {
   const std::string_view unread{static_cast<const char*>(buffer.data().data()),
--- a/Libraries/LibTraffic/caller_line.h
+++ b/Libraries/LibTraffic/caller_line.h
@@ -13,6 +13,11 @@
 
 namespace wagtailmount::detail {
 
+/// Answers that wait at this node for others on their connections: a twentieth
+/// of the memory of the smallest machines.
+inline constexpr std::uint64_t kMaximumWaitingBytes =
+    std::uint64_t{8} * 1024 * 1024;
+
 /// How the wait of an answer for its turn ended.
 enum class turn : std::uint8_t {
   kCome,       ///< The answer may be sent.
--- a/Libraries/LibTraffic/caller_session.cc
+++ b/Libraries/LibTraffic/caller_session.cc
@@ -194,12 +194,11 @@
         co_return next_step::kCloseNow;
       }
     }
-    const bool is_unbroken =
+    const refusal_cause broken_off =
         co_await HoldBeforeOthers(worker_, line_, ticket_, *result.answer);
-    if (!is_unbroken) {
+    if (broken_off != refusal_cause::kNone) {
       result.answer.reset();
-      co_return co_await Refuse(verdict::kMayHaveRun,
-                                refusal_cause::kConnectionLost);
+      co_return co_await Refuse(verdict::kMayHaveRun, broken_off);
     }
     CountVerdict(state_.counters, verdict::kRan);
     const bool is_kept_alive = CanKeepAlive();
@@ -207,7 +206,7 @@
     const answer_guard writing{worker_, caller_};
     const bool is_written = co_await WriteAnswer(caller_, *result.answer);
     if (!is_written) {
-      co_return Cut(CauseOfCutAnswer(*result.answer));
+      co_return Cut(CauseOfCut(caller_, *result.answer, state_.clock.Now()));
     }
     if (result.answer->suspect) {
       state_.quarantine.RecordAnswer(*result.answer->suspect);
@@ -228,17 +227,6 @@
     return next_step::kCloseNow;
   }
 
-  cut_cause CauseOfCutAnswer(const incoming_answer& answer) {
-    if (caller_.HasPeerClosed()) {
-      return cut_cause::kCallerLeft;
-    }
-    // The node beside the upstream may end it a moment earlier.
-    const bool is_lost =
-        answer.remaining_body != nullptr &&
-        state_.clock.Now() < answer.rest_by - kStreamedRestGrace;
-    return is_lost ? cut_cause::kAnswerLost : cut_cause::kAnswerLate;
-  }
-
   // Whether another request may follow on the connection.
   bool CanKeepAlive() {
     const bool can_keep_alive = parser_.is_done() && parser_.keep_alive();
@@ -318,8 +306,7 @@
     }
     const bool is_written = co_await WriteRefusal(caller_, refusal);
     if (!is_written) {
-      co_return Cut(caller_.HasPeerClosed() ? cut_cause::kCallerLeft
-                                            : cut_cause::kAnswerLate);
+      co_return Cut(CauseOfCut(caller_));
     }
     co_return is_kept_alive ? next_step::kKeepAlive
                             : next_step::kLingeringClose;
@@ -376,7 +363,8 @@
     refusal.is_kept_alive = false;
     refusal.is_head = is_head_;
     const bool is_written = co_await WriteRefusal(caller_, refusal);
-    co_return is_written ? next_step::kLingeringClose : next_step::kCloseNow;
+    co_return is_written ? next_step::kLingeringClose
+                         : Cut(CauseOfCut(caller_));
   }
 
   traffic_worker& worker_;
--- a/Libraries/LibTraffic/traffic_state.cc
+++ b/Libraries/LibTraffic/traffic_state.cc
@@ -140,7 +140,7 @@
   constexpr std::chrono::milliseconds kLookInterval{10};
   const bool is_over = state.clock.Now() >= end;
   if (is_over) {
-    for (const auto& [number, request] : served_requests) {
+    for (const auto& [place, request] : served_requests) {
       request->EndWithdrawal();
     }
   }
--- a/Libraries/LibTraffic/traffic_state.h
+++ b/Libraries/LibTraffic/traffic_state.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "LibBase/random.h"
 #include "LibLoad/body_schedule.h"
@@ -173,6 +174,10 @@
   exchange_sizes sizes{};
 };
 
+/// How far a request that is served has come. What is not answered is withdrawn
+/// first: it may still be queued.
+enum class request_stage : std::uint8_t { kAnswered, kUnanswered };
+
 /// The state that one traffic thread uses alone.
 struct traffic_worker {
   traffic_worker(traffic_state& shared, std::uint64_t seed)
@@ -208,7 +213,9 @@
 
   traffic_state& state;
   // Declared before the context, whose coroutines hold guards of it.
-  std::map<std::uint64_t, disconnect_watcher*> served_requests;  ///< By start.
+  /// By stage, and by start in each.
+  std::map<std::pair<request_stage, std::uint64_t>, disconnect_watcher*>
+      served_requests;
   std::uint64_t next_served = 0;
   std::set<http_connection*> answered_clients;  ///< See answer_guard.
   std::atomic<bool> has_withdrawn{false};       ///< See WithdrawAt().
@@ -253,17 +260,18 @@
 /// Lists a request as served by `worker` for the lifetime of the guard.
 class served_request_guard {
  public:
-  served_request_guard(traffic_worker& worker, disconnect_watcher& watch)
-      : worker_(worker), number_(worker.next_served++) {
-    worker_.served_requests.emplace(number_, &watch);
+  served_request_guard(traffic_worker& worker, disconnect_watcher& watch,
+                       request_stage stage = request_stage::kUnanswered)
+      : worker_(worker), place_(stage, worker.next_served++) {
+    worker_.served_requests.emplace(place_, &watch);
   }
   served_request_guard(const served_request_guard&) = delete;
   served_request_guard& operator=(const served_request_guard&) = delete;
-  ~served_request_guard() { worker_.served_requests.erase(number_); }
+  ~served_request_guard() { worker_.served_requests.erase(place_); }
 
  private:
   traffic_worker& worker_;
-  std::uint64_t number_;
+  std::pair<request_stage, std::uint64_t> place_;
 };
 
 }  // namespace wagtailmount::detail
