Tests/Process: Wait for the end of the connection again, and for what ran

It waits for the end again, and the new case requires that the request behind has run. Idle connections are counted once all are accepted.

--- a/Tests/Process/test_foreign_bytes.py
+++ b/Tests/Process/test_foreign_bytes.py
@@ -89,7 +89,7 @@
 
 
 class IdleConnectionsTest(CatalogFleet):
-    """Connections that send nothing use up none of what another port needs."""
+    """Connections that wait for a call, and send none, leave other ports the descriptors that they need."""
 
     vms = ForeignBytesTest.vms
 
@@ -103,6 +103,7 @@
                 try:
                     for _ in range(IDLE_CONNECTIONS):
                         idle.append(socket.create_connection((OWNER, int(self.ports[port])), timeout=2))
+                    time.sleep(0.5)  # All of them are accepted.
                     open_now = len(os.listdir(f"/proc/{self.nodes[OWNER].pid}/fd"))
                     self.assertLess(open_now, MAXIMUM_DESCRIPTORS)
                     self.assertEqual(self.call(OWNER, "/balance/1")[0], 200)
--- a/Tests/Process/test_slow_peers.py
+++ b/Tests/Process/test_slow_peers.py
@@ -89,7 +89,7 @@
         self.configure(5, TIMEOUT_SECONDS)
         for vm in BOTH:
             name = os.urandom(8).hex()
-            self.ask_behind(vm, name, "/photos/break-1", "/history/1")
+            self.ask_behind(vm, name, "/photos/break-1", "/history/1")  # Until the connection ends.
             self.assertNotIn(f"{name}-1", [ran[0] for backend in self.backends.values() for ran in backend.ran])
 
     # The same on a route whose answers were short so far.
@@ -97,23 +97,23 @@
         self.configure(5, TIMEOUT_SECONDS)
         for vm in BOTH:
             name = os.urandom(8).hex()
-            answers = self.ask_behind(vm, name, "/balance/break-1", "/history/1")
-            ran = [ran[0] for backend in self.backends.values() for ran in backend.ran]
-            if f"{name}-1" in ran:
-                self.assertTrue(f"{name}-1 of ".encode() in answers, "what ran got no answer")
+            awaited = f"{name}-1 of ".encode()
+            answers = self.ask_behind(vm, name, "/balance/break-1", "/history/1", awaited=awaited)
+            self.assertIn(f"{name}-1", [ran[0] for backend in self.backends.values() for ran in backend.ran])
+            self.assertTrue(awaited in answers, "what ran got no answer")
 
-    def ask_behind(self, vm, name, *paths):
-        """Sends all at once; returns what comes until the connection ends or nothing more does."""
+    def ask_behind(self, vm, name, *paths, awaited=None):
+        """Sends all at once; returns what comes until `awaited` has, or the connection ends."""
         requests = "".join(
             f"GET {path} HTTP/1.1\r\nHost: mesh.example\r\nX-Request-Id: {name}-{number}\r\n"
             f"X-Deadline-Ms: 8000\r\n\r\n" for number, path in enumerate(paths))
         answers = b""
-        with socket.create_connection((vm, int(self.ports["caller"])), timeout=4) as connection:
+        with socket.create_connection((vm, int(self.ports["caller"])), timeout=TIMEOUT_SECONDS) as connection:
             connection.sendall(requests.encode())
             try:
-                while piece := connection.recv(65536):
+                while not (awaited and awaited in answers) and (piece := connection.recv(65536)):
                     answers += piece
-            except (ConnectionResetError, TimeoutError):
+            except ConnectionResetError:
                 pass
         return answers
 
