TestLibTrafficEndlessAnswers: Send the answer and what follows it at once

Traced: the backend server of the test sent its answer and the endless bytes in two writes; when its thread got no turn between them, the node answered, found the connection clean, used it again, and the bytes came where the next answer was due. They can't be told from it, and the node says "may have run", as it must; with one attempt the lookup isn't repeated.

--- a/Tests/LibTraffic/fake_backend_server.cc
+++ b/Tests/LibTraffic/fake_backend_server.cc
@@ -214,7 +214,9 @@
 void fake_backend_server::SendUntilClosed(int socket,
                                           const endless_answer& answer) {
   ++endless_answers_;
-  bool is_open = SendAll(socket, answer.begin);
+  // At once: what comes behind a whole answer later, when the connection is in
+  // use again, can't be told from the next answer.
+  bool is_open = SendAll(socket, answer.begin + answer.repeated);
   while (is_open && !is_stopping_) {
     is_open = SendAll(socket, answer.repeated);
   }
