--- a/Libraries/LibCatalog/catalog_source.h
+++ b/Libraries/LibCatalog/catalog_source.h
@@ -37,9 +37,8 @@
 /// - kUnavailable: refused, reset or not reachable; nothing was read;
 /// - kOverLimit: too many reads per second;
 /// - kTimeout: no complete answer in time;
-/// - kConflict: the platform no longer knows the changes after that revision,
-/// or
-///   they are too many for one answer;
+/// - kConflict: the changes after that revision are no longer known, or too many
+///   for one answer;
 /// - kInvalidInput: the answer violates the protocol.
 class catalog_source {
  public:
