Tests: Claim the ports of test processes, and reuse them after a close

FreeEndpoint looks with SO_REUSEADDR, the scripted owner bound without it, so a port whose last connection was closed within a minute passed the look and failed the use.

Each process claims blocks of ports by a name that the system frees with the process; a fake backend server that can't listen throws.

--- a/Tests/LibTraffic/fake_backend_server.cc
+++ b/Tests/LibTraffic/fake_backend_server.cc
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <stdexcept>
 #include <utility>
 
 #include "Tests/LibTraffic/raw_http.h"
@@ -48,9 +49,11 @@
   const int yes = 1;
   ::setsockopt(listener_, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof(yes));
   sockaddr_in socket_address = AddressOf(address_);
-  ::bind(listener_, reinterpret_cast<sockaddr*>(&socket_address),
-         sizeof(socket_address));
-  ::listen(listener_, 512);
+  if (::bind(listener_, reinterpret_cast<sockaddr*>(&socket_address),
+             sizeof(socket_address)) != 0 ||
+      ::listen(listener_, 512) != 0) {
+    throw std::runtime_error{"cannot listen on " + address_.ToText()};
+  }
   accept_thread_ = std::thread([this] {
     while (!is_stopping_) {
       const int socket = ::accept(listener_, nullptr, nullptr);
--- a/Tests/LibTraffic/scripted_owner.cc
+++ b/Tests/LibTraffic/scripted_owner.cc
@@ -14,6 +14,9 @@
 
 int Listen(const endpoint& address) {
   const int listener = socket(AF_INET, SOCK_STREAM, 0);
+  // Connections that an earlier test closed may linger on the port.
+  const int yes = 1;
+  setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &yes, sizeof yes);
   const sockaddr_in bound = AddressOf(address);
   BOOST_REQUIRE(bind(listener, reinterpret_cast<const sockaddr*>(&bound),
                      sizeof bound) == 0);
--- a/Tests/Process/processes.py
+++ b/Tests/Process/processes.py
@@ -15,30 +15,67 @@
 BUILD = pathlib.Path(os.environ.get("WAGTAILMOUNT_BUILD", ROOT / "build"))
 STAND_INS = BUILD / "Tests" / "StandIns"
 PROGRAMS = BUILD / "Programs"
-FIRST_PORT, LAST_PORT = 24000, 25999
+FIRST_PORT, PORTS, PORTS_IN_BLOCK = 24000, 2000, 50
 PR_SET_PDEATHSIG = 1
-PORTS_APART = 173  # Between the first ports of processes that follow.
 
 
-class Ports:
-    """Hands out free loopback ports of this project's block, each once."""
+class PortSupply:
+    """The ports of one process, from as many blocks as it needs; those of its first block come again at the end."""
 
     def __init__(self):
-        self._next = FIRST_PORT + (
-            os.getpid() * PORTS_APART % (LAST_PORT - FIRST_PORT))
+        self._lock = threading.Lock()
+        self._claims, self._ports, self._next = [], [], 0
+        blocks = range(FIRST_PORT, FIRST_PORT + PORTS, PORTS_IN_BLOCK)
+        begin = os.getpid() % len(blocks)
+        self._unclaimed = [*blocks[begin:], *blocks[:begin]]
+
+    def take(self):
+        with self._lock:
+            for _ in range(PORTS + 1):
+                if self._next == len(self._ports):
+                    self._claim_next_block()
+                port = self._ports[self._next]
+                self._next += 1
+                if is_free(port):
+                    return port
+        raise RuntimeError("no free port in the blocks of this process")
+
+    def _claim_next_block(self):
+        while self._unclaimed:
+            first = self._unclaimed.pop(0)
+            # A probe of a port doesn't keep it, so two processes could find the same one free. A name in the abstract
+            # namespace of sockets is held by one process, until it ends.
+            claim = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+            try:
+                claim.bind(f"\0wagtailmount-test-ports-{first}")
+            except OSError:
+                claim.close()
+                continue
+            self._claims.append(claim)
+            self._ports += range(first, first + PORTS_IN_BLOCK)
+            return
+        if not self._ports:
+            raise RuntimeError("other tests hold all ports")
+        self._next = 0
+
+
+def is_free(port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+class Ports:
+    """Hands out free loopback ports of this project's block, to one test process at a time."""
+
+    _supply = PortSupply()
 
     def take(self):
-        for _ in range(LAST_PORT - FIRST_PORT + 1):
-            port = self._next
-            self._next = FIRST_PORT if port == LAST_PORT else port + 1
-            with socket.socket() as probe:
-                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                try:
-                    probe.bind(("127.0.0.1", port))
-                except OSError:
-                    continue
-            return f"127.0.0.1:{port}"
-        raise RuntimeError("no free port in the block")
+        return f"127.0.0.1:{self._supply.take()}"
 
 
 def call(address, method, target, document=None, timeout=2.0):
