--- a/Tests/Process/test_traffic.py
+++ b/Tests/Process/test_traffic.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import os
+import signal
 import time
 import unittest
 
@@ -83,6 +84,25 @@
         self.judge(fleet, load, "rolling restart")
         self.assert_unharmed(load)
 
+    # Guards against a second signal that ends a node with requests in flight.
+    def test_repeated_signals_cut_nothing(self):
+        fleet = self.run_fleet()
+        stopped = next(iter(fleet.nodes.values()))
+        with Load(fleet, SEED, service_ms=800) as load:
+            time.sleep(1)
+            stopped.signal(signal.SIGTERM)
+            signals = 1
+            while stopped.is_running():
+                time.sleep(0.2)
+                if stopped.is_running():
+                    stopped.signal(signal.SIGTERM)
+                    signals += 1
+            self.assertEqual(stopped.popen.returncode, 0)
+            time.sleep(0.5)
+        self.assertGreater(signals, 2)
+        self.judge(fleet, load, "repeated signals")
+        self.assert_unharmed(load)
+
     def test_drained_node_gets_no_new_work(self):
         fleet = self.run_fleet()
         # The list keeps saying "live": the announcement alone must do.
