--- a/Libraries/LibLoad/retry_budget.h
+++ b/Libraries/LibLoad/retry_budget.h
@@ -48,7 +48,7 @@
   /// calls to other services that a retried request repeats when it runs again;
   /// the nodes that receive these can't tell them from first calls. They are
   /// taken to be as many as a service's own retries.
-  static constexpr double kSpendableShare = 0.47;
+  static constexpr double kSpendableShare = 0.48;
   static constexpr double kSpendableSlack = 0.5;
 
   double share_ = 0.0;
