LibTraffic: Reset what a broken-off exchange leaves behind an unread body

An entry that waits for the rest of a body finds the end by reading it; the exchange then fails and drops its connection to the owner in order, behind the bytes that the owner's full receive window holds back. The owner waits on, and starts the request when a slot becomes free.

Each exchange that fails gives its connection up in the same way now.

--- a/Libraries/LibTraffic/exchange.cc
+++ b/Libraries/LibTraffic/exchange.cc
@@ -235,6 +235,9 @@
   watch.CloseOnDisconnect(nullptr);
   // A connection is never reused after an incomplete exchange.
   if (result.outcome != attempt_outcome::kAnswered) {
+    if (connection != nullptr) {
+      connection->Abandon();
+    }
     connection.reset();
   } else if (connection != nullptr) {
     if (is_long) {
--- a/Tests/LibTraffic/test_uploads.cc
+++ b/Tests/LibTraffic/test_uploads.cc
@@ -161,4 +161,30 @@
   }
 }
 
+// The same while the caller still owes a part of the body, which the entry
+// finds out by reading.
+BOOST_AUTO_TEST_CASE(ALongBodyWhoseCallerLeftWithinItIsNotWaitedFor) {
+  constexpr std::size_t kAnnouncedBytes = 800'000;
+  constexpr std::size_t kSentBytes = 300'000;
+  traffic_fixture fixture{1, SingleSlotOptions()};
+  fixture.Publish();
+  auto& owner = fixture.Owner(1);
+  test_caller running{fixture.Entry().caller_address};
+  running.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Fake: wait\r\n\r\n");
+  BOOST_REQUIRE(
+      Eventually([&] { return owner.backend_server->TotalRuns() == 1; }));
+  test_caller leaving{fixture.Entry().caller_address};
+  leaving.Send(
+      "POST / HTTP/1.1\r\nHost: a\r\nX-Request-Id: leaving\r\n"
+      "Content-Length: " +
+      std::to_string(kAnnouncedBytes) + "\r\n\r\n" + BodyOf(kSentBytes));
+  BOOST_REQUIRE(
+      Eventually([&] { return owner.server->Counters().in_flight == 2; }));
+  leaving.Close();
+  BOOST_TEST(
+      Eventually([&] { return owner.server->Counters().in_flight == 1; }));
+  owner.backend_server->ReleaseWaitingRequests();
+  BOOST_TEST(running.Receive().status == 200);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
