--- a/Tests/Process/test_traffic.py
+++ b/Tests/Process/test_traffic.py
@@ -17,6 +17,7 @@
 
 SEED = int(os.environ.get("WAGTAILMOUNT_SEED", "1"))
 LEAVING_SECONDS = 3
+GRACE_SECONDS = 10
 SERVED_SHARE = 0.99  # The ledger's level; each node has its own upstream.
 SETTLING_SECONDS = 3  # A route's deadline of 2 s, and one more.
 
@@ -25,7 +26,7 @@
 
     def run_fleet(self, relay=False, **settings):
         fleet = Fleet(SEED, example_files(), 1, relay=relay,
-                      node_settings={"drain_grace_ms": 10000, **settings})
+                      node_settings={"drain_grace_ms": GRACE_SECONDS * 1000, **settings})
         fleet.__enter__()
         self.addCleanup(lambda: fleet.__exit__(
             None if self.is_sound() else AssertionError, None, None))
@@ -92,11 +93,11 @@
             time.sleep(1)
             stopped.signal(signal.SIGTERM)
             signals = 1
-            while stopped.is_running():
+            end = time.monotonic() + GRACE_SECONDS
+            while stopped.is_running() and time.monotonic() < end:
                 time.sleep(0.2)
-                if stopped.is_running():
-                    stopped.signal(signal.SIGTERM)
-                    signals += 1
+                stopped.signal(signal.SIGTERM)
+                signals += 1
             self.assertEqual(stopped.popen.returncode, 0)
             time.sleep(0.5)
         self.assertGreater(signals, 2)
--- a/Tests/StandIns/socket_owner.cc
+++ b/Tests/StandIns/socket_owner.cc
@@ -8,8 +8,10 @@
 #include <unistd.h>
 
 #include <array>
+#include <cerrno>
 #include <cstring>
 #include <filesystem>
+#include <system_error>
 
 namespace wagtailmount::stand_ins {
 
@@ -45,7 +47,9 @@
 std::uint64_t SocketInodeOf(const endpoint& local, const endpoint& remote) {
   const int asking =
       ::socket(AF_NETLINK, SOCK_RAW | SOCK_CLOEXEC, NETLINK_SOCK_DIAG);
-  if (asking < 0) return 0;
+  if (asking < 0) {
+    throw std::system_error{errno, std::system_category(), "sock_diag"};
+  }
   const diagnosis_request request = RequestFor(local, remote);
   std::array<char, 4096> answer{};
   ssize_t got = ::send(asking, &request, sizeof request, 0);
