--- a/Tests/LibTraffic/test_uploads.cc
+++ b/Tests/LibTraffic/test_uploads.cc
@@ -38,6 +38,42 @@
          " 0 1\r\nContent-Length: " + std::to_string(bytes) + "\r\n\r\n";
 }
 
+struct upload_of_a_caller_who_leaves {
+  bool calls_owner;
+  std::size_t announced_bytes;
+  std::size_t sent_bytes;
+};
+
+// Its caller leaves while the backend server runs another request, its only
+// one at a time.
+void CheckThatItIsNotWaitedFor(const upload_of_a_caller_who_leaves& upload) {
+  BOOST_TEST_CONTEXT("owner " << upload.calls_owner << ", bytes "
+                              << upload.sent_bytes) {
+    traffic_fixture fixture{1, SingleSlotOptions()};
+    fixture.Publish();
+    auto& owner = fixture.Owner(1);
+    auto& called = upload.calls_owner ? owner : fixture.Entry();
+    test_caller running{called.caller_address};
+    running.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Fake: wait\r\n\r\n");
+    BOOST_REQUIRE(
+        Eventually([&] { return owner.backend_server->TotalRuns() == 1; }));
+    test_caller leaving{called.caller_address};
+    leaving.Send(
+        "POST / HTTP/1.1\r\nHost: a\r\nX-Request-Id: leaving\r\n"
+        "Content-Length: " +
+        std::to_string(upload.announced_bytes) + "\r\n\r\n" +
+        BodyOf(upload.sent_bytes));
+    BOOST_REQUIRE(
+        Eventually([&] { return owner.server->Counters().in_flight == 2; }));
+    leaving.Close();
+    BOOST_TEST(
+        Eventually([&] { return owner.server->Counters().in_flight == 1; }));
+    owner.backend_server->ReleaseWaitingRequests();
+    BOOST_TEST(running.Receive().status == 200);
+    BOOST_TEST(owner.backend_server->RunCount("leaving") == 0);
+  }
+}
+
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(uploads_suite)
@@ -125,66 +161,18 @@
 // Guards against long bodies whose callers aren't watched once they have sent
 // them, and against a close between nodes that queues behind the body.
 BOOST_AUTO_TEST_CASE(ALongBodyWhoseCallerLeftWhileItWaitedIsNotRun) {
-  struct row {
-    bool calls_owner;
-    std::size_t streamed_bytes;
-  };
   // A caller's own close is not seen while its system holds back bytes that
   // come before it.
-  for (const auto [calls_owner, streamed_bytes] :
-       {row{true, 150'000}, row{false, 150'000}, row{false, 300'000},
-        row{false, 800'000}}) {
-    BOOST_TEST_CONTEXT("owner " << calls_owner << ", bytes "
-                                << streamed_bytes) {
-      traffic_fixture fixture{1, SingleSlotOptions()};
-      fixture.Publish();
-      auto& owner = fixture.Owner(1);
-      auto& called = calls_owner ? owner : fixture.Entry();
-      test_caller running{called.caller_address};
-      running.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Fake: wait\r\n\r\n");
-      BOOST_REQUIRE(
-          Eventually([&] { return owner.backend_server->TotalRuns() == 1; }));
-      test_caller leaving{called.caller_address};
-      leaving.Send(
-          "POST / HTTP/1.1\r\nHost: a\r\nX-Request-Id: leaving\r\n"
-          "Content-Length: " +
-          std::to_string(streamed_bytes) + "\r\n\r\n" + BodyOf(streamed_bytes));
-      BOOST_REQUIRE(
-          Eventually([&] { return owner.server->Counters().in_flight == 2; }));
-      leaving.Close();
-      BOOST_TEST(
-          Eventually([&] { return owner.server->Counters().in_flight == 1; }));
-      owner.backend_server->ReleaseWaitingRequests();
-      BOOST_TEST(running.Receive().status == 200);
-      BOOST_TEST(owner.backend_server->RunCount("leaving") == 0);
-    }
-  }
+  CheckThatItIsNotWaitedFor({true, 150'000, 150'000});
+  CheckThatItIsNotWaitedFor({false, 150'000, 150'000});
+  CheckThatItIsNotWaitedFor({false, 300'000, 300'000});
+  CheckThatItIsNotWaitedFor({false, 800'000, 800'000});
 }
 
 // The same while the caller still owes a part of the body, which the entry
 // finds out by reading.
 BOOST_AUTO_TEST_CASE(ALongBodyWhoseCallerLeftWithinItIsNotWaitedFor) {
-  constexpr std::size_t kAnnouncedBytes = 800'000;
-  constexpr std::size_t kSentBytes = 300'000;
-  traffic_fixture fixture{1, SingleSlotOptions()};
-  fixture.Publish();
-  auto& owner = fixture.Owner(1);
-  test_caller running{fixture.Entry().caller_address};
-  running.Send("GET / HTTP/1.1\r\nHost: a\r\nX-Fake: wait\r\n\r\n");
-  BOOST_REQUIRE(
-      Eventually([&] { return owner.backend_server->TotalRuns() == 1; }));
-  test_caller leaving{fixture.Entry().caller_address};
-  leaving.Send(
-      "POST / HTTP/1.1\r\nHost: a\r\nX-Request-Id: leaving\r\n"
-      "Content-Length: " +
-      std::to_string(kAnnouncedBytes) + "\r\n\r\n" + BodyOf(kSentBytes));
-  BOOST_REQUIRE(
-      Eventually([&] { return owner.server->Counters().in_flight == 2; }));
-  leaving.Close();
-  BOOST_TEST(
-      Eventually([&] { return owner.server->Counters().in_flight == 1; }));
-  owner.backend_server->ReleaseWaitingRequests();
-  BOOST_TEST(running.Receive().status == 200);
+  CheckThatItIsNotWaitedFor({false, 800'000, 300'000});
 }
 
 BOOST_AUTO_TEST_SUITE_END()
